--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# The newcomer's map: `make try` runs a whole program, `make test` runs all tests.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: try test lint format matrix bench capacity latency
+
+try: .venv
+	@$(BIN)/python scripts/try_program.py
+
+test: .venv
+	@$(BIN)/python -m pytest -q
+
+lint: .venv
+	@$(BIN)/black --check --quiet . || ($(BIN)/black --check . ; exit 1)
+	@$(BIN)/ruff check .
+
+format: .venv
+	@$(BIN)/ruff check --fix --quiet .
+	@$(BIN)/black --quiet .
+
+.venv: .venv/installed
+
+.venv/installed: pyproject.toml constraints.txt
+	@test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	@$(BIN)/python -m pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	@touch $@
--- /dev/null
+++ b/egretford/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP API for callers and operators."""
--- /dev/null
+++ b/egretford/api/programs.py
@@ -0,0 +1,122 @@
+"""Routes for programs and their calls."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+from blacksheep import Request, Response, StreamedContent
+
+from egretford.api.bodies import (
+    describe_error,
+    parse_body,
+    read_body,
+    read_header,
+    write_error,
+    write_event,
+    write_json,
+)
+from egretford.clock import Clock
+from egretford.controllers.gateway import Gateway
+from egretford.controllers.runs import CallProgress
+from egretford.errors import ErrorKind, RequestError
+from egretford.metrics import Metrics
+from egretford.models import CallOutcome, CallRequest, OpenRequest
+
+SSE_TYPE = b"text/event-stream"
+
+
+class ProgramRoutes:
+    """Handlers of /v1/programs."""
+
+    def __init__(self, gateway: Gateway, metrics: Metrics, clock: Clock, body_bytes: int) -> None:
+        self._gateway = gateway
+        self._metrics = metrics
+        self._clock = clock
+        self._body_bytes = body_bytes
+
+    async def open(self, request: Request) -> Response:
+        """POST /v1/programs."""
+        body = parse_body(await read_body(request, self._body_bytes), OpenRequest)
+        key = read_header(request, b"Idempotency-Key")
+        view = await self._gateway.open(body, key)
+        return write_json(201, {"program": view.program, "budget": view.budget})
+
+    async def view(self, request: Request) -> Response:
+        """GET /v1/programs/{program}."""
+        return write_json(200, await self._gateway.view(request.route_values["program"]))
+
+    async def end(self, request: Request) -> Response:
+        """DELETE /v1/programs/{program}."""
+        return write_json(200, await self._gateway.end(request.route_values["program"]))
+
+    async def get_call(self, request: Request) -> Response:
+        """GET /v1/programs/{program}/calls/{call}."""
+        program, number = request.route_values["program"], request.route_values["call"]
+        if not number.isdecimal():
+            raise RequestError(ErrorKind.BAD_REQUEST, f"call {number!r} is not a number")
+        progress = await self._gateway.get_call(program, int(number))
+        if progress.outcome is None:
+            return write_json(202, {"program": program, "call": int(number), "state": "running"})
+        return _write_outcome(progress.outcome)
+
+    async def call(self, request: Request) -> Response:
+        """POST /v1/programs/{program}/calls."""
+        body = parse_body(await read_body(request, self._body_bytes), CallRequest)
+        progress = self.follow(request.route_values["program"], body)
+        if not body.stream:
+            async for step in progress:
+                outcome = step.outcome
+            return _write_outcome(outcome)
+        first = await anext(progress)
+        return Response(
+            200, content=StreamedContent(SSE_TYPE, lambda: _write_events(first, progress))
+        )
+
+    async def follow(
+        self, program: str, body: CallRequest, *, whole_history: bool = False
+    ) -> AsyncIterator[CallProgress]:
+        """Run a call and record how long it took, by tenant and class."""
+        started = self._clock.monotonic()
+        try:
+            async for step in self._gateway.run_call(program, body, whole_history=whole_history):
+                yield step
+                if step.is_done:
+                    seconds = self._clock.monotonic() - started
+                    self._metrics.record_seconds("call", step.tenant, step.urgency, seconds)
+        except RequestError as error:
+            self._metrics.count(f"calls.{error.verdict.value}.{error.kind.value}")
+            raise
+        self._metrics.count("calls.ran")
+
+
+def _write_outcome(outcome: CallOutcome) -> Response:
+    """An outcome in doubt is an error to its caller, each time it is asked for."""
+    if outcome.answer is None:
+        return write_error(in_doubt(outcome))
+    return write_json(200, outcome)
+
+
+def in_doubt(outcome: CallOutcome) -> RequestError:
+    """Build the error that stands for a settled outcome without an answer."""
+    return RequestError(
+        ErrorKind.OUTCOME_UNKNOWN,
+        f"call {outcome.call} may have run; its outcome was lost and it is not run again",
+        verdict=outcome.verdict,
+    )
+
+
+async def _write_events(
+    first: CallProgress, rest: AsyncIterator[CallProgress]
+) -> AsyncIterator[bytes]:
+    try:
+        for text in first.tokens:
+            yield write_event("token", {"text": text})
+        step = first
+        async for step in rest:
+            for text in step.tokens:
+                yield write_event("token", {"text": text})
+        if step.outcome is not None and step.outcome.answer is None:
+            raise in_doubt(step.outcome)
+        yield write_event("outcome", step.outcome)
+    except RequestError as error:
+        yield write_event("error", describe_error(error))
--- /dev/null
+++ b/egretford/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators."""
--- /dev/null
+++ b/egretford/cli/daemons.py
@@ -0,0 +1,78 @@
+"""Starting of daemons, with the standard library's argument parser only."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from pathlib import Path
+
+from egretford.cli.exits import ExitStatus
+from egretford.logs import configure_logs
+
+
+def run_daemon(words: list[str]) -> int:
+    """Run `entry` or `standin` until it is told to leave."""
+    options = build_parser().parse_args(words)
+    configure_logs(options.log_level)
+    if options.command == "entry":
+        return _run_entry(options.settings)
+    return _run_standin(options)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser of the daemon commands."""
+    parser = argparse.ArgumentParser(prog="egretford")
+    commands = parser.add_subparsers(dest="command", required=True)
+    entry = commands.add_parser("entry", help="run an entry")
+    entry.add_argument("--settings", type=Path, required=True, help="JSON file with comments")
+    standin = commands.add_parser("standin", help="run a stand-in of the outside world")
+    standin.add_argument("kind", choices=("platform", "engine", "service"))
+    standin.add_argument("--port", type=int, required=True)
+    standin.add_argument("--host", default="127.0.0.1")
+    standin.add_argument("--slots", type=int, default=8)
+    standin.add_argument("--cache-tokens", type=int, default=60_000)
+    standin.add_argument("--step-seconds", type=float, default=0.010)
+    standin.add_argument("--call-seconds", type=float, default=0.02)
+    standin.add_argument("--fencing", choices=("checked", "ignored"), default="ignored")
+    for command in (entry, standin):
+        command.add_argument("--log-level", default="INFO")
+    return parser
+
+
+def _run_entry(path: Path) -> int:
+    from egretford.context import build_context
+    from egretford.daemon import serve_entry
+    from egretford.settings import read_settings
+
+    asyncio.run(serve_entry(build_context(read_settings(path))))
+    return ExitStatus.OK
+
+
+def _run_standin(options: argparse.Namespace) -> int:
+    import uvicorn
+
+    app = _build_standin(options)
+    uvicorn.run(app, host=options.host, port=options.port, log_config=None, access_log=False)
+    return ExitStatus.OK
+
+
+def _build_standin(options: argparse.Namespace):
+    match options.kind:
+        case "platform":
+            from egretford.standin.platform import PlatformStandin
+
+            return PlatformStandin().app
+        case "engine":
+            from egretford.standin.batching import EngineProfile
+            from egretford.standin.engine import EngineStandin
+
+            profile = EngineProfile(
+                slots=options.slots,
+                step=options.step_seconds,
+                cache_tokens=options.cache_tokens,
+            )
+            return EngineStandin(profile, fencing_checked=options.fencing == "checked").app
+        case _:
+            from egretford.standin.service import ServiceStandin
+
+            return ServiceStandin(options.call_seconds).app
--- /dev/null
+++ b/egretford/cli/operators.py
@@ -0,0 +1,161 @@
+"""Commands for operators: check, apply, get, status, histograms, load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Annotated
+
+import click
+import typer
+
+from egretford.cli.exits import ExitStatus
+from egretford.cli.requests import fetch_json
+from egretford.cli.store import apply_tables, read_stored
+from egretford.codec import to_json
+from egretford.errors import InputError
+from egretford.models import Tables
+from egretford.tables import check_joins, merge_rows, read_tables
+
+PLATFORM = Annotated[
+    str, typer.Option(envvar="EGRETFORD_PLATFORM", help="URL of the platform's object API")
+]
+ENTRY = Annotated[str, typer.Option(envvar="EGRETFORD_ENTRY", help="URL of an entry")]
+DEFAULT_PLATFORM = "http://127.0.0.1:7100"
+DEFAULT_ENTRY = "http://127.0.0.1:7200"
+
+app = typer.Typer(add_completion=False, no_args_is_help=True, help="Egretford for operators.")
+
+
+def run_command(words: list[str]) -> int:
+    """Run one operators' command."""
+    try:
+        result = app(words, standalone_mode=False)
+    except click.UsageError as error:
+        error.show()
+        return ExitStatus.USAGE
+    except (click.Abort, click.exceptions.Exit) as stop:
+        return getattr(stop, "exit_code", ExitStatus.FAILED)
+    return result if isinstance(result, int) else ExitStatus.OK
+
+
+@app.command()
+def check(file: Path) -> int:
+    """Check a tables file, with its joins, and change nothing."""
+    tables = read_tables(file)
+    problems = check_joins(tables, str(file))
+    if problems:
+        raise InputError(problems)
+    typer.echo(f"{file}: {len(tables.routes)} routes and {len(tables.pools)} pools are good")
+    return ExitStatus.OK
+
+
+@app.command()
+def apply(
+    file: Path,
+    platform: PLATFORM = DEFAULT_PLATFORM,
+    revision: Annotated[
+        int | None, typer.Option(help="apply only if this revision is in the store")
+    ] = None,
+    replace: Annotated[bool, typer.Option(help="drop rows that the file lacks")] = False,
+) -> int:
+    """Apply a tables file as a whole, or refuse it as a whole."""
+    change = read_tables(file)
+
+    def merge(current: Tables) -> Tables:
+        merged = change if replace else merge_rows(current, change)
+        problems = check_joins(merged, str(file))
+        if problems:
+            raise InputError(problems)
+        return merged
+
+    applied = asyncio.run(apply_tables(platform, merge, revision))
+    typer.echo(f"applied as revision {applied}")
+    return ExitStatus.OK
+
+
+@app.command()
+def get(
+    table: Annotated[str, typer.Argument(help="routes or pools")],
+    platform: PLATFORM = DEFAULT_PLATFORM,
+) -> int:
+    """Print a table as it stands in the store."""
+    if table not in ("routes", "pools"):
+        raise click.UsageError(f"no table {table!r}; use 'routes' or 'pools'")
+    stored = asyncio.run(read_stored(platform))
+    rows = getattr(stored.tables, table)
+    _print_json({"revision": stored.revision, table: to_json(rows)})
+    return ExitStatus.OK
+
+
+@app.command()
+def status(entry: ENTRY = DEFAULT_ENTRY) -> int:
+    """Print an entry's status."""
+    _print_json(asyncio.run(fetch_json(f"{entry}/v1/status")))
+    return ExitStatus.OK
+
+
+@app.command()
+def histograms(entry: ENTRY = DEFAULT_ENTRY) -> int:
+    """Print latency histograms by tenant and class."""
+    rows = asyncio.run(fetch_json(f"{entry}/v1/histograms"))
+    typer.echo(
+        f"{'name':<10}{'tenant':<28}{'class':<13}{'count':>8}"
+        f"{'p50 s':>9}{'p95 s':>9}{'p99 s':>9}{'max s':>9}"
+    )
+    for row in rows:
+        times = "".join(f"{row['percentiles'][p]:>9.3f}" for p in ("p50", "p95", "p99"))
+        typer.echo(
+            f"{row['name']:<10}{row['tenant']:<28}{row['urgency']:<13}{row['count']:>8}"
+            f"{times}{row['maximum']:>9.3f}"
+        )
+    return ExitStatus.OK
+
+
+@app.command()
+def load(
+    workload: Path,
+    entry: Annotated[list[str], typer.Option(help="URL of an entry; repeatable")],
+    programs: Annotated[int, typer.Option(min=1, max=100_000)] = 20,
+    concurrency: Annotated[int, typer.Option(min=1, max=2_000)] = 8,
+    seed: int = 1,
+    service: Annotated[list[str] | None, typer.Option(help="service URL to check effects")] = None,
+    report: Annotated[Path | None, typer.Option(help="write the report as JSON")] = None,
+    quiet: bool = False,
+) -> int:
+    """Drive a workload against running entries and report on it."""
+    from egretford.cli.load import run_load
+    from egretford.cli.workload import read_workload
+
+    result = asyncio.run(
+        run_load(
+            read_workload(workload),
+            entries=entry,
+            services=service or [],
+            programs=programs,
+            concurrency=concurrency,
+            seed=seed,
+            show_progress=not quiet,
+        )
+    )
+    _print_json(to_json(result))
+    if report is not None:
+        report.write_text(json.dumps(to_json(result), indent=2) + "\n")
+    return ExitStatus.OK if result.is_whole else ExitStatus.NOT_WHOLE
+
+
+@app.command()
+def entry() -> int:
+    """Run an entry: egretford entry --settings FILE."""
+    raise click.UsageError("give --settings FILE")
+
+
+@app.command()
+def standin() -> int:
+    """Run a stand-in: egretford standin platform|engine|service --port PORT."""
+    raise click.UsageError("give a kind and --port PORT")
+
+
+def _print_json(value: object) -> None:
+    typer.echo(json.dumps(value, indent=2))
--- /dev/null
+++ b/egretford/codec.py
@@ -0,0 +1,104 @@
+"""Converters between attrs classes, JSON values and MessagePack bytes.
+
+Structuring is strict: a value of another type is refused, never coerced, and
+unknown fields are refused by name.
+"""
+
+from __future__ import annotations
+
+import re
+from datetime import datetime
+from enum import StrEnum
+from typing import Any, TypeVar
+
+import msgpack
+from cattrs import Converter, transform_error
+from cattrs.preconf.msgpack import make_converter
+from cattrs.v import format_exception
+
+T = TypeVar("T")
+
+_JSON_NAMES = {"urgency": "class"}
+_FIELD_PATH = re.compile(r"^(?P<what>.*?)(?: @ \$\.?(?P<path>.*))?$")
+
+
+def _check_exact(expected: type) -> Any:
+    def structure(value: Any, _: type) -> Any:
+        if type(value) is not expected:
+            raise TypeError(f"expected {expected.__name__}, got {type(value).__name__}")
+        return value
+
+    return structure
+
+
+def _check_number(value: Any, _: type) -> float:
+    if type(value) not in (int, float) or value != value:
+        raise TypeError(f"expected a number, got {type(value).__name__}")
+    return float(value)
+
+
+def _structure_enum(value: Any, kind: type[StrEnum]) -> StrEnum:
+    try:
+        return kind(value)
+    except ValueError:
+        allowed = ", ".join(kind)
+        raise ValueError(f"{value!r} is none of {allowed}") from None
+
+
+def _build_converter() -> Converter:
+    converter = make_converter(forbid_extra_keys=True, omit_if_default=False)
+    for plain in (int, str, bool):
+        converter.register_structure_hook(plain, _check_exact(plain))
+    # Without its own hook a StrEnum would be taken for a plain str.
+    converter.register_structure_hook(StrEnum, _structure_enum)
+    converter.register_structure_hook(float, _check_number)
+    converter.register_structure_hook(
+        datetime, lambda value, _: datetime.fromisoformat(_check_exact(str)(value, str))
+    )
+    converter.register_unstructure_hook(datetime, lambda value: value.isoformat())
+    return converter
+
+
+converter = _build_converter()
+
+
+def encode_bytes(value: Any, kind: Any = None) -> bytes:
+    """Encode an attrs value as MessagePack; pass `kind` for a member of a tagged union."""
+    return msgpack.packb(converter.unstructure(value, unstructure_as=kind))
+
+
+def decode_bytes(data: bytes, kind: type[T]) -> T:
+    """Decode MessagePack into `kind`; raises cattrs or msgpack errors on malformed input."""
+    return converter.structure(msgpack.unpackb(data), kind)
+
+
+def to_json(value: Any) -> Any:
+    """Turn an attrs value into plain JSON values."""
+    return converter.unstructure(value)
+
+
+def from_json(value: Any, kind: type[T]) -> T:
+    """Turn plain JSON values into `kind`; raises on any mismatch, see `explain_error`."""
+    return converter.structure(value, kind)
+
+
+def explain_error(error: BaseException) -> list[tuple[str, str]]:
+    """List (field path, what was wrong) for an error raised while structuring."""
+    messages = transform_error(error, path="$", format_exception=_describe_fault)
+    return [_split_message(message) for message in messages]
+
+
+def _describe_fault(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, KeyError):
+        return "required field missing"
+    if isinstance(error, ValueError | TypeError) and error.args:
+        return str(error.args[0])
+    return format_exception(error, kind)
+
+
+def _split_message(message: str) -> tuple[str, str]:
+    found = _FIELD_PATH.match(message)
+    path = found.group("path") if found else None
+    what = found.group("what") if found else message
+    names = [_JSON_NAMES.get(name, name) for name in (path or "(whole)").split(".")]
+    return ".".join(names), what
--- /dev/null
+++ b/egretford/controllers/loops.py
@@ -0,0 +1,50 @@
+"""Background loops of controllers, with explicit start and close."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from egretford.clock import Clock
+
+FAILURE_PAUSE_SECONDS = 0.5
+
+
+class TaskGroup:
+    """Tasks that one controller owns and cancels on close."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine until it ends or the group closes."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    async def close(self) -> None:
+        """Cancel all tasks and wait for them."""
+        tasks = [task for task in self._tasks if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def run_every(
+    clock: Clock, seconds: float, action: Callable[[], Awaitable[None]], log: Any
+) -> None:
+    """Run an action again and again; an error is logged and does not end the loop."""
+    while True:
+        try:
+            await action()
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            log.warning("a periodic step failed; trying again", error=repr(error))
+            await clock.sleep(FAILURE_PAUSE_SECONDS)
+        await clock.sleep(seconds)
--- /dev/null
+++ b/egretford/controllers/node.py
@@ -0,0 +1,112 @@
+"""One incarnation of an entry: all the state that a takeover would move elsewhere."""
+
+from __future__ import annotations
+
+from egretford.context import Context
+from egretford.controllers.configuration import ConfigurationController
+from egretford.controllers.crashes import CrashController
+from egretford.controllers.janitor import JanitorController
+from egretford.controllers.journal import JournalWriter
+from egretford.controllers.members import MembersController
+from egretford.controllers.openings import OpeningController
+from egretford.controllers.owner import Owner
+from egretford.controllers.scheduling import SchedulingController
+from egretford.controllers.takeover import TakeoverController
+from egretford.filters.budget import BudgetFilter
+from egretford.filters.chain import Proceed, build_chain
+from egretford.filters.claims import ClaimFilter
+from egretford.filters.dispatch import Dispatcher
+from egretford.filters.grants import GrantFilter
+from egretford.filters.limits import LimitFilter
+from egretford.filters.quarantine import QuarantineFilter
+from egretford.filters.retries import RetryFilter
+from egretford.models import Member
+from egretford.peer.interface import Peers
+from egretford.platform.objects import Platform
+from egretford.policy.program import Program, ProgramTable
+from egretford.upstream.interface import Upstream
+
+INCARNATION_BITS = 64
+
+
+def incarnation_of(program: str) -> str:
+    """Return the incarnation that a program's id names."""
+    return program.rpartition("-")[0]
+
+
+class Node:
+    """The controllers of one incarnation; replaced as a whole once it is taken over."""
+
+    def __init__(
+        self,
+        context: Context,
+        platform: Platform,
+        upstream: Upstream,
+        peers: Peers,
+        configuration: ConfigurationController,
+        crashes: CrashController,
+        scheduling: SchedulingController,
+    ) -> None:
+        settings = context.settings
+        self.incarnation = f"{context.rng.getrandbits(INCARNATION_BITS):016x}"
+        self.table = ProgramTable()
+        self.journal = JournalWriter(context, platform, self.incarnation, self.table.root_of)
+        self.owner = Owner(context, self.incarnation, self.journal, self.table, configuration)
+        me = Member(
+            incarnation=self.incarnation,
+            owner=self.incarnation,
+            address=f"tcp://{settings.peer.host}:{settings.peer.port}",
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            instance=settings.instance,
+            renewed_at=context.clock.now(),
+        )
+        self.members = MembersController(context, platform, peers, configuration, me)
+        self.takeover = TakeoverController(
+            context, platform, self.members, self.owner, self.journal, configuration
+        )
+        self.openings = OpeningController(platform)
+        self.janitor = JanitorController(
+            context, upstream, self.owner, self.journal, configuration, self._forget
+        )
+        self._scheduling = scheduling
+        self.owner.set_chain(self._build_chain(context, upstream, crashes))
+
+    def _build_chain(
+        self, context: Context, upstream: Upstream, crashes: CrashController
+    ) -> Proceed:
+        dispatcher = Dispatcher(upstream, self.owner, context.clock, context.rng)
+        filters = [
+            LimitFilter(context.settings.limits.running_calls),
+            RetryFilter(context.clock, context.rng),
+            QuarantineFilter(crashes, context.clock),
+            BudgetFilter(self.owner),
+            GrantFilter(self._scheduling, context.clock),
+            ClaimFilter(self.owner),
+        ]
+        return build_chain(filters, dispatcher.dispatch)
+
+    def _forget(self, program: Program) -> None:
+        self._scheduling.forget_program(program.id)
+        if program.opened.opening_key is not None:
+            self.janitor.forget_key_soon(self.openings, program.opened.opening_key)
+
+    async def start(self) -> None:
+        """Announce the incarnation and start serving."""
+        await self.journal.start()
+        await self.members.start()
+        await self.takeover.start()
+        await self.janitor.start()
+
+    async def close(self) -> None:
+        """Stop all controllers at once; a successor takes over."""
+        await self.takeover.close()
+        await self.janitor.close()
+        await self.members.close()
+        await self.owner.close()
+        await self.journal.close()
+
+    @property
+    def is_fenced(self) -> bool:
+        """Whether another entry has taken this incarnation over."""
+        return self.journal.sealed.is_set() or self.members.lost.is_set()
--- /dev/null
+++ b/egretford/controllers/owner.py
@@ -0,0 +1,434 @@
+"""The owner of programs: one incarnation that orders calls and keeps history and budget."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from attrs import evolve
+
+from egretford.context import Context
+from egretford.controllers.configuration import ConfigurationController
+from egretford.controllers.journal import JournalWriter
+from egretford.controllers.loops import TaskGroup
+from egretford.controllers.runs import CallProgress, CallRun, CallStep
+from egretford.errors import (
+    EgretfordError,
+    ErrorKind,
+    JournalFullError,
+    JournalSealedError,
+    RequestError,
+    Verdict,
+)
+from egretford.filters.chain import CallJob, Completed, Proceed
+from egretford.models import (
+    CallKind,
+    Durability,
+    OpenRequest,
+    Pool,
+    ProgramView,
+    Route,
+    Usage,
+)
+from egretford.policy.budget import first_ceiling
+from egretford.policy.history import fingerprint_content, fingerprint_request
+from egretford.policy.program import (
+    Join,
+    Program,
+    ProgramTable,
+    Refuse,
+    Replay,
+    Start,
+    WaitForPredecessor,
+)
+from egretford.policy.records import (
+    CallSettled,
+    CeilingRaised,
+    ProgramEnded,
+    ProgramOpened,
+    Record,
+)
+
+SENDING_KEPT_SECONDS = 60.0
+STORE_RETRY_SECONDS = 2.0
+_NO_USAGE = Usage()
+
+
+class Owner:
+    """Programs of one incarnation, and those it has taken over."""
+
+    def __init__(
+        self,
+        context: Context,
+        incarnation: str,
+        journal: JournalWriter,
+        table: ProgramTable,
+        configuration: ConfigurationController,
+    ) -> None:
+        self.incarnation = incarnation
+        self.journal = journal
+        self.table = table
+        self._context = context
+        self._configuration = configuration
+        self._clock = context.clock
+        self._log = context.make_logger("owner")
+        self.accepts_calls = True
+        self._opened = 0
+        self._runs: dict[tuple[str, int], CallRun] = {}
+        self._sendings: dict[tuple[str, str], tuple[float, CallRun]] = {}
+        self._settled: dict[str, asyncio.Event] = {}
+        self._tasks = TaskGroup()
+        self._chain: Proceed | None = None
+        self.on_ended: Callable[[Program], None] = lambda program: None
+
+    def set_chain(self, chain: Proceed) -> None:
+        """Set the filter chain that runs calls."""
+        self._chain = chain
+
+    async def close(self) -> None:
+        """Cancel all runs."""
+        await self._tasks.close()
+
+    @property
+    def running_calls(self) -> int:
+        """Calls that run now."""
+        return len(self._runs)
+
+    async def open(self, request: OpenRequest, opening_key: str | None = None) -> Program:
+        """Open a program and make it durable, or keep it in memory during an outage."""
+        route, _ = self._find_route(request.route, CallKind.MODEL, None)
+        if len(self.table.programs) >= self._context.settings.limits.programs:
+            raise RequestError(
+                ErrorKind.OVERLOADED, "this entry holds too many programs", retry_after_seconds=1.0
+            )
+        self._check_parent(request)
+        self._opened += 1
+        record = ProgramOpened(
+            program=f"{self.incarnation}-{self._opened}",
+            route=route.name,
+            tenant=request.tenant,
+            urgency=request.urgency,
+            budget=request.budget,
+            parent=request.parent,
+            opened_at=self._clock.now(),
+            ceiling_tokens=first_ceiling(request.budget),
+            opening_key=opening_key,
+        )
+        await self._append_opening(record)
+        return self.table.programs[record.program]
+
+    def _check_parent(self, request: OpenRequest) -> None:
+        if request.parent is None:
+            return
+        parent = self.find_program(request.parent)
+        if parent.ended is not None:
+            raise RequestError(ErrorKind.PROGRAM_ENDED, f"parent {request.parent} has ended")
+
+    async def _append_opening(self, record: ProgramOpened) -> None:
+        done = self._append([record])
+        self.table.apply(record)
+        durable = await self._wait(done, self._context.settings.journal.durable_wait_seconds)
+        if not durable:
+            self._log.warning(
+                "opened a program in memory; the store is out", program=record.program
+            )
+
+    def find_program(self, program: str) -> Program:
+        """Return a program; raises UNKNOWN_PROGRAM."""
+        found = self.table.programs.get(program)
+        if found is None:
+            raise RequestError(
+                ErrorKind.UNKNOWN_PROGRAM,
+                f"no program {program!r} is known; it may have ended and been forgotten",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+        return found
+
+    def view(self, program: str) -> ProgramView:
+        """Return what a caller may see of a program."""
+        return self.find_program(program).view(self._clock.now())
+
+    def get_call(self, program: str, call: int) -> CallProgress:
+        """Return a call's outcome, or that it runs; raises UNKNOWN_CALL."""
+        found = self.find_program(program)
+        if 1 <= call <= found.last_call:
+            return CallProgress(tokens=[], outcome=found.outcome_of(call))
+        if (program, call) in self._runs:
+            return CallProgress(tokens=[])
+        raise RequestError(
+            ErrorKind.UNKNOWN_CALL,
+            f"call {call} has no outcome here; the last one that has is {found.last_call}",
+            verdict=Verdict.MAY_HAVE_RUN if found.dispatched else Verdict.NOT_RUN,
+        )
+
+    async def end(self, program: str, reason: str = "ended by its caller") -> ProgramView:
+        """End a program and its children; repeatable."""
+        self.find_program(program)
+        now = self._clock.now()
+        ending = [member for member in self.table.tree_of(program) if member.ended is None]
+        records = [ProgramEnded(member.id, reason, now) for member in ending]
+        self.note(records)
+        for member in ending:
+            self._wake_waiters(member.id)
+            self.on_ended(member)
+        if records:
+            await self._wait_pending()
+        return self.view(program)
+
+    async def step(self, step: CallStep) -> CallProgress:
+        """Advance one sending of a call; see CallStep."""
+        program = self.find_program(step.program)
+        if step.whole_history:
+            step = evolve(step, request=program.trim_history(step.request))
+        run = self._find_sending(step)
+        if run is None:
+            run = await self._admit(program, step)
+        if isinstance(run, CallProgress):
+            return self._label(run, program)
+        if run.tokens[: len(step.delivered)] != step.delivered and not run.is_done:
+            raise RequestError(
+                ErrorKind.CALL_CONFLICT,
+                "the call runs again elsewhere with another text; get it by its number",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+        return self._label(await run.follow(len(step.delivered), step.wait_seconds), program)
+
+    def _label(self, progress: CallProgress, program: Program) -> CallProgress:
+        return evolve(progress, tenant=program.opened.tenant, urgency=program.opened.urgency.value)
+
+    def _find_sending(self, step: CallStep) -> CallRun | None:
+        known = self._sendings.get((step.program, step.sending))
+        return known[1] if known else None
+
+    async def _admit(self, program: Program, step: CallStep) -> CallRun | CallProgress:
+        """Start or join a run; a progress instead says that the call waits or is settled."""
+        wait_until = self._clock.monotonic() + step.wait_seconds
+        while True:
+            match program.decide_call(step.request, self._clock.now()):
+                case Replay(outcome):
+                    return CallProgress(tokens=[], outcome=outcome)
+                case Join():
+                    run = self._runs[(program.id, step.request.call)]
+                case Start() if not self.accepts_calls:
+                    await self._wait_settled(program.id, wait_until)
+                    return CallProgress(tokens=[], waiting=True)
+                case Start():
+                    run = self._start_run(program, step)
+                case Refuse(error):
+                    raise error
+                case WaitForPredecessor():
+                    if not await self._wait_settled(program.id, wait_until):
+                        return CallProgress(tokens=[], waiting=True)
+                    continue
+            self._keep_sending(step, run)
+            return run
+
+    def _keep_sending(self, step: CallStep, run: CallRun) -> None:
+        now = self._clock.monotonic()
+        self._sendings[(step.program, step.sending)] = now + SENDING_KEPT_SECONDS, run
+
+    def drop_old_sendings(self) -> None:
+        """Forget finished sendings that are past their time."""
+        now = self._clock.monotonic()
+        old = [k for k, (until, run) in self._sendings.items() if now >= until and run.is_done]
+        for key in old:
+            del self._sendings[key]
+
+    async def _wait_settled(self, program: str, until: float) -> bool:
+        event = self._settled.setdefault(program, asyncio.Event())
+        try:
+            async with asyncio.timeout(max(0.0, until - self._clock.monotonic())):
+                await event.wait()
+            return True
+        except TimeoutError:
+            return False
+
+    def _wake_waiters(self, program: str) -> None:
+        event = self._settled.pop(program, None)
+        if event is not None:
+            event.set()
+
+    def _start_run(self, program: Program, step: CallStep) -> CallRun:
+        request = step.request
+        if self.journal.sealed.is_set():
+            raise _lost_ownership(program, request.is_repeatable)
+        name = request.service or program.opened.route
+        route, pool = self._find_route(name, request.kind, program)
+        run = CallRun(fingerprint_request(request), step.delivered)
+        seconds = min(
+            step.seconds_left,
+            request.timeout_seconds,
+            route.deadline_seconds,
+            (program.expires_at - self._clock.now()).total_seconds(),
+        )
+        job = CallJob(
+            program=program,
+            request=request,
+            route=route,
+            pool=pool,
+            run=run,
+            content=fingerprint_content(request, route.name),
+            prompt_bound=program.bound_prompt(request),
+            deadline=self._clock.monotonic() + seconds,
+            may_have_run=program.dispatched and request.is_repeatable,
+        )
+        program.running = run.fingerprint
+        self._runs[(program.id, request.call)] = run
+        self._tasks.spawn(self._run(job))
+        return run
+
+    def _find_route(self, name: str, kind: CallKind, program: Program | None) -> tuple[Route, Pool]:
+        tables = self._configuration.current
+        route = tables.find_route(name)
+        pool = tables.resolve(route, kind) if route else None
+        if route is None or pool is None:
+            raise RequestError(
+                ErrorKind.UNKNOWN_ROUTE,
+                f"no route {name!r} leads to a pool for {kind} calls; "
+                "see 'egretford get routes'",
+            )
+        return route, pool
+
+    async def _run(self, job: CallJob) -> None:
+        key = (job.program.id, job.request.call)
+        try:
+            completed = await self._chain(job)
+            await self._settle(job, completed)
+        except RequestError as error:
+            await self._fail(job, error)
+        except EgretfordError as error:
+            await self._fail(job, job.refuse(ErrorKind.INTERNAL, repr(error)))
+        except Exception as error:
+            self._log.error("a call failed by a fault of ours", error=repr(error), call=key)
+            await self._fail(job, job.refuse(ErrorKind.INTERNAL, repr(error)))
+        finally:
+            self._runs.pop(key, None)
+            job.program.running = None
+            self._wake_waiters(job.program.id)
+
+    async def _settle(self, job: CallJob, completed: Completed) -> None:
+        record = self._settling_record(job, completed)
+        records: list[Record] = [record]
+        root = job.program.account.root
+        if root.needs_ceiling(record.charged_tokens + 2 * job.token_bound):
+            records.append(CeilingRaised(job.program.root, root.plan_ceiling(2 * job.token_bound)))
+        durability = await self._settle_records(records)
+        job.program.running = None
+        self._finish(job, durability)
+
+    def _settling_record(self, job: CallJob, completed: Completed | None) -> CallSettled:
+        return CallSettled(
+            program=job.program.id,
+            call=job.request.call,
+            kind=job.request.kind,
+            fingerprint=job.run.fingerprint,
+            messages=job.request.messages,
+            answer=completed.answer if completed else None,
+            verdict=Verdict.RAN if completed else Verdict.MAY_HAVE_RUN,
+            usage=completed.usage if completed else _NO_USAGE,
+            charged_tokens=job.charged_tokens,
+            worker=completed.worker if completed and job.token_bound else "",
+        )
+
+    async def _settle_records(self, records: list[Record]) -> Durability:
+        """Append and fold; ceilings are folded only once they are durable."""
+        done = self._append(records)
+        self.table.apply(records[0])
+        seconds = self._context.settings.journal.durable_wait_seconds
+        durable = await self._wait(done, seconds)
+        if not durable:
+            return Durability.MEMORY
+        for record in records[1:]:
+            self.table.apply(record)
+        return Durability.STORE
+
+    def _finish(self, job: CallJob, durability: Durability) -> None:
+        outcome = job.program.outcome_of(job.request.call)
+        job.run.finish(evolve(outcome, durability=durability))
+        self._wake_waiters(job.program.id)
+
+    async def _fail(self, job: CallJob, error: RequestError) -> None:
+        """End a run with an error; a claimed call that may have run is settled so."""
+        claimed = not job.request.is_repeatable and job.may_have_run
+        if claimed and error.verdict is Verdict.MAY_HAVE_RUN and not self.journal.sealed.is_set():
+            try:
+                await self._settle_records([self._settling_record(job, None)])
+            except (JournalFullError, JournalSealedError):
+                self._log.warning("could not settle a call in doubt", program=job.program.id)
+        job.program.running = None
+        job.run.fail(error)
+
+    def _append(self, records: Iterable[Record]) -> asyncio.Future[int]:
+        try:
+            return self.journal.append(records)
+        except JournalFullError as error:
+            raise RequestError(
+                ErrorKind.STORE_UNAVAILABLE,
+                f"the store is out and the journal's buffer is full: {error}",
+                retry_after_seconds=STORE_RETRY_SECONDS,
+            ) from error
+        except JournalSealedError as error:
+            raise RequestError(
+                ErrorKind.OWNER_UNREACHABLE,
+                "the program has moved to another entry; send the call again",
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
+
+    async def _wait(self, done: asyncio.Future[int], seconds: float) -> bool:
+        """Wait for durability; raises RequestError if the journal was sealed."""
+        try:
+            async with asyncio.timeout(max(0.0, seconds)):
+                await asyncio.shield(done)
+            return True
+        except TimeoutError:
+            return False
+        except JournalSealedError as error:
+            raise RequestError(
+                ErrorKind.OWNER_UNREACHABLE,
+                "the program has moved to another entry; send the call again",
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
+
+    async def _wait_pending(self) -> None:
+        try:
+            async with asyncio.timeout(self._context.settings.journal.durable_wait_seconds):
+                await self.journal.flush()
+        except (TimeoutError, JournalSealedError):
+            return
+
+    async def make_durable(self, job: CallJob, records: list[Record]) -> None:
+        """Append records and fold them once they are durable; see JobJournal."""
+        done = self._append(records)
+        if not await self._wait(done, job.deadline - self._clock.monotonic()):
+            raise job.refuse(
+                ErrorKind.STORE_UNAVAILABLE,
+                "the store is out; what this call needs to record could not be kept in time",
+                STORE_RETRY_SECONDS,
+            )
+        for record in records:
+            self.table.apply(record)
+
+    def note(self, records: list[Record]) -> None:
+        """Fold records now and append them without waiting; see JobJournal."""
+        self._append(records)
+        for record in records:
+            self.table.apply(record)
+
+    def list_expired(self) -> list[str]:
+        """Return open root programs whose budget of seconds is spent and that run nothing."""
+        now = self._clock.now()
+        return [
+            program.id
+            for program in self.table.programs.values()
+            if program.ended is None and now >= program.expires_at and program.running is None
+        ]
+
+
+def _lost_ownership(program: Program, repeatable: bool) -> RequestError:
+    may_have_run = program.dispatched and repeatable
+    return RequestError(
+        ErrorKind.OWNER_UNREACHABLE,
+        "this entry no longer owns the program; send the call again",
+        verdict=Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN,
+        retry_after_seconds=1.0,
+    )
--- /dev/null
+++ b/egretford/controllers/runs.py
@@ -0,0 +1,93 @@
+"""A running call: its tokens so far and its result, followed by any number of readers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import frozen
+
+from egretford.errors import RequestError
+from egretford.models import CallOutcome, CallRequest, ErrorReply
+
+
+@frozen
+class CallStep:
+    """One request of a caller's entry to the owner; repeated until the call is done.
+
+    `sending` names one HTTP request of the caller. `delivered` are the tokens that it
+    has received already; `wait_seconds` is how long the owner may hold the answer back.
+    """
+
+    program: str
+    sending: str
+    request: CallRequest
+    delivered: list[str]
+    wait_seconds: float
+    seconds_left: float
+    whole_history: bool = False
+
+
+@frozen
+class CallProgress:
+    """The owner's answer to a step; `waiting` says that the call has not started."""
+
+    tokens: list[str]
+    waiting: bool = False
+    outcome: CallOutcome | None = None
+    error: ErrorReply | None = None
+    tenant: str = ""
+    urgency: str = ""
+
+    @property
+    def is_done(self) -> bool:
+        """Whether there is nothing more to come."""
+        return self.outcome is not None or self.error is not None
+
+
+class CallRun:
+    """One try of a call on its owner; ends with an outcome or an error."""
+
+    def __init__(self, fingerprint: str, delivered: list[str]) -> None:
+        self.fingerprint = fingerprint
+        self.tokens: list[str] = list(delivered)
+        self.outcome: CallOutcome | None = None
+        self.error: RequestError | None = None
+        self._changed = asyncio.Event()
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the run has ended."""
+        return self.outcome is not None or self.error is not None
+
+    def add_token(self, text: str) -> None:
+        """Add a token and wake the readers."""
+        self.tokens.append(text)
+        self._wake()
+
+    def finish(self, outcome: CallOutcome) -> None:
+        """End with an outcome."""
+        self.outcome = outcome
+        self._wake()
+
+    def fail(self, error: RequestError) -> None:
+        """End with an error."""
+        self.error = error
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def follow(self, delivered: int, wait_seconds: float) -> CallProgress:
+        """Return what came after `delivered` tokens, waiting a while if nothing did."""
+        if not self.is_done and len(self.tokens) <= delivered:
+            try:
+                async with asyncio.timeout(wait_seconds):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        return CallProgress(
+            tokens=self.tokens[delivered:],
+            outcome=self.outcome,
+            error=ErrorReply.from_error(self.error) if self.error else None,
+        )
--- /dev/null
+++ b/egretford/errors.py
@@ -0,0 +1,167 @@
+"""The exception tree, the verdicts and the kinds of error that callers see."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class Verdict(StrEnum):
+    """Whether the request may have run on an upstream."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class ErrorKind(StrEnum):
+    """Machine-readable cause in an error body."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNKNOWN_PROGRAM = "unknown_program"
+    UNKNOWN_CALL = "unknown_call"
+    UNKNOWN_ROUTE = "unknown_route"
+    CALL_CONFLICT = "call_conflict"
+    DIGEST_MISMATCH = "digest_mismatch"
+    OUT_OF_ORDER = "out_of_order"
+    PROGRAM_ENDED = "program_ended"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
+    NOT_READY = "not_ready"
+    STORE_UNAVAILABLE = "store_unavailable"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_REJECTED = "upstream_rejected"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TIMEOUT = "timeout"
+    INTERNAL = "internal"
+
+
+HTTP_STATUS = {
+    ErrorKind.BAD_REQUEST: 400,
+    ErrorKind.TOO_LARGE: 413,
+    ErrorKind.UNKNOWN_PROGRAM: 404,
+    ErrorKind.UNKNOWN_CALL: 404,
+    ErrorKind.UNKNOWN_ROUTE: 404,
+    ErrorKind.CALL_CONFLICT: 409,
+    ErrorKind.DIGEST_MISMATCH: 409,
+    ErrorKind.OUT_OF_ORDER: 409,
+    ErrorKind.PROGRAM_ENDED: 410,
+    ErrorKind.BUDGET_EXHAUSTED: 402,
+    ErrorKind.OVERLOADED: 429,
+    ErrorKind.QUARANTINED: 422,
+    ErrorKind.NOT_READY: 503,
+    ErrorKind.STORE_UNAVAILABLE: 503,
+    ErrorKind.OWNER_UNREACHABLE: 503,
+    ErrorKind.UPSTREAM_FAILED: 502,
+    ErrorKind.UPSTREAM_REJECTED: 422,
+    ErrorKind.OUTCOME_UNKNOWN: 502,
+    ErrorKind.TIMEOUT: 504,
+    ErrorKind.INTERNAL: 500,
+}
+
+
+class EgretfordError(Exception):
+    """Root of all errors that egretford raises."""
+
+
+class RequestError(EgretfordError):
+    """A refusal or failure that a caller sees, with its verdict."""
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        verdict: Verdict = Verdict.NOT_RUN,
+        retry_after_seconds: float | None = None,
+        last_shared_call: int | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.verdict = verdict
+        self.retry_after_seconds = retry_after_seconds
+        self.last_shared_call = last_shared_call
+
+
+@frozen
+class Problem:
+    """One fault in an input file: where it is and what to do about it."""
+
+    where: str
+    what: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.where}: {self.what}; {self.remedy}"
+
+
+class InputError(EgretfordError):
+    """A settings or table file that was refused as a whole."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class PlatformError(EgretfordError):
+    """The platform's object API did not do what was asked."""
+
+
+class StoreUnavailableError(PlatformError):
+    """The store could not be reached or gave no answer; a write may have taken effect."""
+
+
+class ObjectMissingError(PlatformError):
+    """The object does not exist."""
+
+
+class VersionConflictError(PlatformError):
+    """The object exists already, or has another version than expected."""
+
+
+class JournalSealedError(EgretfordError):
+    """Another incarnation has sealed this journal; its owner must stop serving."""
+
+
+class JournalFullError(EgretfordError):
+    """The journal's buffer is at its bound; the records were not taken."""
+
+
+class PeerUnreachableError(EgretfordError):
+    """A peer did not answer; the request may have reached it."""
+
+
+class UpstreamError(EgretfordError):
+    """An upstream did not give a whole answer."""
+
+    def __init__(self, message: str, *, verdict: Verdict) -> None:
+        super().__init__(message)
+        self.verdict = verdict
+
+
+class UpstreamRefusedError(UpstreamError):
+    """The upstream refused before running anything, or was never reached."""
+
+    def __init__(self, message: str, *, leaving: bool = False) -> None:
+        super().__init__(message, verdict=Verdict.NOT_RUN)
+        self.leaving = leaving
+
+
+class UpstreamRejectedError(UpstreamError):
+    """The upstream judged the request itself invalid; another try would end the same."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, verdict=Verdict.NOT_RUN)
+
+
+class UpstreamLostError(UpstreamError):
+    """The connection broke or went silent after the request was sent."""
+
+    def __init__(self, message: str, *, crashed: bool) -> None:
+        super().__init__(message, verdict=Verdict.MAY_HAVE_RUN)
+        self.crashed = crashed
--- /dev/null
+++ b/egretford/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of checks that each request passes before it reaches its owner."""
--- /dev/null
+++ b/egretford/filters/dispatch.py
@@ -0,0 +1,97 @@
+"""The last step of the chain: one attempt on one worker."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from egretford.clock import Clock
+from egretford.controllers.loops import TaskGroup
+from egretford.errors import ErrorKind, UpstreamLostError, Verdict
+from egretford.filters.budget import JobJournal
+from egretford.filters.chain import CallJob, Completed
+from egretford.filters.grants import note_holder
+from egretford.models import CallKind, Usage
+from egretford.upstream.interface import ModelDispatch, Token, ToolDispatch, Upstream
+
+
+class Dispatcher:
+    """Sends a call to the granted worker and reads its answer."""
+
+    def __init__(
+        self, upstream: Upstream, journal: JobJournal, clock: Clock, rng: random.Random
+    ) -> None:
+        self._upstream = upstream
+        self._journal = journal
+        self._clock = clock
+        self._rng = rng
+        self._cancels = TaskGroup()
+
+    async def dispatch(self, job: CallJob) -> Completed:
+        """Run one attempt within the call's deadline; raises UpstreamError."""
+        seconds = job.deadline - self._clock.monotonic()
+        if seconds <= 0:
+            raise job.refuse(ErrorKind.TIMEOUT, "the call's time ran out before dispatch")
+        holders = note_holder(job) if job.request.kind is CallKind.MODEL else []
+        if holders:
+            self._journal.note(holders)
+        before = job.may_have_run, job.program.dispatched
+        job.may_have_run = job.program.dispatched = True
+        try:
+            return await self._run(job, seconds)
+        except Exception as error:
+            if getattr(error, "verdict", None) is Verdict.NOT_RUN:
+                job.may_have_run, job.program.dispatched = before
+            raise
+
+    async def _run(self, job: CallJob, seconds: float) -> Completed:
+        try:
+            async with asyncio.timeout(seconds):
+                if job.request.kind is CallKind.TOOL:
+                    return await self._run_tool(job, seconds)
+                return await self._run_model(job)
+        except TimeoutError as error:
+            raise UpstreamLostError(
+                "no whole answer within the call's time", crashed=False
+            ) from error
+
+    async def _run_tool(self, job: CallJob, seconds: float) -> Completed:
+        dispatch = ToolDispatch(
+            job.program.id, job.request.call, job.request.messages, job.request.is_repeatable
+        )
+        result = await self._upstream.run_tool(job.worker, dispatch, seconds)
+        return Completed({"role": "tool", "content": result}, Usage(), job.worker.name)
+
+    async def _run_model(self, job: CallJob) -> Completed:
+        dispatch = ModelDispatch(
+            request_id=f"{self._rng.getrandbits(64):016x}",
+            program=job.program.id,
+            model=job.pool.model or "",
+            messages=job.program.history() + job.request.messages,
+            max_tokens=job.request.max_tokens,
+            skip_tokens=len(job.run.tokens),
+        )
+        finished = False
+        try:
+            async for event in self._upstream.run_model(job.worker, dispatch):
+                if isinstance(event, Token):
+                    self._take_token(job, event)
+                    continue
+                finished = True
+                return self._complete(job, event.usage, dispatch.skip_tokens)
+        finally:
+            if not finished:
+                self._cancels.spawn(self._upstream.cancel(job.worker, dispatch.request_id))
+        raise UpstreamLostError("the stream ended without its end event", crashed=False)
+
+    def _take_token(self, job: CallJob, event: Token) -> None:
+        """Keep a token once; a resumed stream may send some again."""
+        if event.index == len(job.run.tokens):
+            job.run.add_token(event.text)
+        elif event.index > len(job.run.tokens):
+            raise UpstreamLostError(f"token {event.index} came out of order", crashed=False)
+
+    def _complete(self, job: CallJob, usage: Usage, skipped: int) -> Completed:
+        answer = {"role": "assistant", "content": "".join(job.run.tokens).strip()}
+        whole = Usage(usage.prompt, usage.cached, usage.completion + skipped)
+        return Completed(answer, whole, job.worker.name)
--- /dev/null
+++ b/egretford/filters/grants.py
@@ -0,0 +1,58 @@
+"""Waiting for a slot of a worker before an attempt."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from egretford.clock import Clock
+from egretford.errors import ErrorKind, UpstreamError, UpstreamLostError, UpstreamRefusedError
+from egretford.filters.chain import CallJob, Completed, Proceed
+from egretford.models import Worker
+from egretford.policy.records import WorkerHeld
+
+
+class Scheduler(Protocol):
+    """Grants slots of a pool's workers."""
+
+    async def acquire(self, job: CallJob, ticket: str) -> Worker:
+        """Wait for a slot; raises RequestError when there will be none in time."""
+
+    def finish(
+        self, job: CallJob, ticket: str, *, failed: bool = False, completed: Completed | None = None
+    ) -> None:
+        """Give the slot back and say how the attempt went."""
+
+
+class GrantFilter:
+    """Holds a slot during each attempt."""
+
+    def __init__(self, scheduler: Scheduler, clock: Clock) -> None:
+        self._scheduler = scheduler
+        self._clock = clock
+        self._tickets = 0
+
+    async def handle(self, job: CallJob, proceed: Proceed) -> Completed:
+        """Acquire, run, give back."""
+        if self._clock.monotonic() >= job.deadline:
+            raise job.refuse(ErrorKind.TIMEOUT, "the call's time ran out before it got a worker")
+        self._tickets += 1
+        ticket = f"{job.program.id}/{job.request.call}/{self._tickets}"
+        job.worker = await self._scheduler.acquire(job, ticket)
+        failed = False
+        completed = None
+        try:
+            completed = await proceed(job)
+            return completed
+        except UpstreamError as error:
+            failed = isinstance(error, UpstreamLostError | UpstreamRefusedError)
+            raise
+        finally:
+            self._scheduler.finish(job, ticket, failed=failed, completed=completed)
+
+
+def note_holder(job: CallJob) -> list[WorkerHeld]:
+    """Return the record that a worker may hold memory, where the journal lacks it."""
+    worker = job.worker.name if job.worker else ""
+    if not worker or worker in job.program.held_by:
+        return []
+    return [WorkerHeld(job.program.id, worker)]
--- /dev/null
+++ b/egretford/filters/limits.py
@@ -0,0 +1,45 @@
+"""Bounds on running calls, for the entry and for each tenant of a route."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from egretford.errors import ErrorKind
+from egretford.filters.chain import CallJob, Completed, Proceed
+
+RETRY_AFTER_SECONDS = 1.0
+
+
+class LimitFilter:
+    """Refuses calls past the bounds before anything is spent on them."""
+
+    def __init__(self, running_calls: int) -> None:
+        self._running_calls = running_calls
+        self._by_tenant: Counter[tuple[str, str]] = Counter()
+        self._running = 0
+
+    async def handle(self, job: CallJob, proceed: Proceed) -> Completed:
+        """Count the call while it runs."""
+        key = (job.route.name, job.program.opened.tenant)
+        self._check(job, key)
+        self._running += 1
+        self._by_tenant[key] += 1
+        try:
+            return await proceed(job)
+        finally:
+            self._running -= 1
+            self._by_tenant[key] -= 1
+            if not self._by_tenant[key]:
+                del self._by_tenant[key]
+
+    def _check(self, job: CallJob, key: tuple[str, str]) -> None:
+        if self._running >= self._running_calls:
+            raise job.refuse(
+                ErrorKind.OVERLOADED, "this entry runs too many calls", RETRY_AFTER_SECONDS
+            )
+        if self._by_tenant[key] >= job.route.limits.tenant_running:
+            raise job.refuse(
+                ErrorKind.OVERLOADED,
+                f"tenant {key[1]} runs too many calls on route {key[0]}",
+                RETRY_AFTER_SECONDS,
+            )
--- /dev/null
+++ b/egretford/filters/quarantine.py
@@ -0,0 +1,45 @@
+"""Refusal of request contents that crashed their upstreams."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import Protocol
+
+from egretford.clock import Clock
+from egretford.errors import ErrorKind, UpstreamLostError
+from egretford.filters.chain import CallJob, Completed, Proceed
+from egretford.policy.retry import CrashRecord
+
+
+class CrashCounter(Protocol):
+    """Crashes by content, shared between entries."""
+
+    def find_block(self, fingerprint: str, now: datetime) -> CrashRecord | None:
+        """Return the record that blocks a content."""
+
+    async def count_crash(self, fingerprint: str, now: datetime) -> CrashRecord:
+        """Count a crash for all entries."""
+
+
+class QuarantineFilter:
+    """Counts crashes by content and blocks a content after the second."""
+
+    def __init__(self, crashes: CrashCounter, clock: Clock) -> None:
+        self._crashes = crashes
+        self._clock = clock
+
+    async def handle(self, job: CallJob, proceed: Proceed) -> Completed:
+        """Check before each attempt, count after it."""
+        block = self._crashes.find_block(job.content, self._clock.now())
+        if block is not None:
+            raise job.refuse(
+                ErrorKind.QUARANTINED,
+                f"this request crashed its upstream {block.crashes} times; "
+                "it is refused for a while, change it before sending it again",
+            )
+        try:
+            return await proceed(job)
+        except UpstreamLostError as error:
+            if error.crashed:
+                await self._crashes.count_crash(job.content, self._clock.now())
+            raise
--- /dev/null
+++ b/egretford/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and sockets between entries."""
--- /dev/null
+++ b/egretford/peer/messages.py
@@ -0,0 +1,85 @@
+"""Messages between entries."""
+
+from __future__ import annotations
+
+from attrs import frozen
+from cattrs.strategies import configure_tagged_union
+
+from egretford.codec import converter
+from egretford.controllers.configuration import TablesMessage
+from egretford.controllers.runs import CallProgress, CallStep
+from egretford.models import ErrorReply, Member, OpenRequest, ProgramView
+
+
+@frozen
+class Ping:
+    """A heartbeat with the sender's configuration revision."""
+
+    member: Member
+    revision: int
+
+
+@frozen
+class Pong:
+    """The answer to a heartbeat."""
+
+    member: Member
+    revision: int
+
+
+@frozen
+class PullTables:
+    """Asks for the tables in force."""
+
+
+@frozen
+class OpenProgram:
+    """Asks the owner of `request.parent` to open a child."""
+
+    request: OpenRequest
+    opening_key: str | None = None
+
+
+@frozen
+class ViewProgram:
+    """Asks for a program's state."""
+
+    program: str
+
+
+@frozen
+class GetCall:
+    """Asks for a call's outcome."""
+
+    program: str
+    call: int
+
+
+@frozen
+class EndProgram:
+    """Asks the owner to end a program and its children."""
+
+    program: str
+
+
+@frozen
+class AdoptPrograms:
+    """Asks a peer to take over a closed incarnation now."""
+
+    incarnation: str
+
+
+@frozen
+class Adopted:
+    """Says how many programs were taken over."""
+
+    programs: int
+
+
+Request = (
+    Ping | PullTables | OpenProgram | ViewProgram | GetCall | EndProgram | AdoptPrograms | CallStep
+)
+Reply = Pong | TablesMessage | ProgramView | CallProgress | Adopted | ErrorReply
+
+configure_tagged_union(Request, converter, tag_name="message")
+configure_tagged_union(Reply, converter, tag_name="message")
--- /dev/null
+++ b/egretford/peer/sockets.py
@@ -0,0 +1,126 @@
+"""Request and reply between entries over pynng.
+
+A reply that does not come in time makes the client replace the connection: an open one
+that has gone silent is never waited for twice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pynng
+
+from egretford.codec import decode_bytes, encode_bytes
+from egretford.controllers.loops import TaskGroup
+from egretford.errors import ErrorKind, PeerUnreachableError, RequestError, Verdict
+from egretford.models import ErrorReply
+from egretford.peer.messages import Reply, Request
+
+NO_RESEND_MILLISECONDS = 3_600_000
+MAX_MESSAGE_BYTES = 8_000_000
+MIN_IDLE_CONTEXTS = 4
+MAX_IDLE_CONTEXTS = 16
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+class PeerClient:
+    """Asks peers; one socket an address."""
+
+    def __init__(self) -> None:
+        self._sockets: dict[str, pynng.Req0] = {}
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        for address in list(self._sockets):
+            self._drop(address)
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close sockets to peers that are gone."""
+        for address in set(self._sockets) - addresses:
+            self._drop(address)
+
+    def _drop(self, address: str) -> None:
+        socket = self._sockets.pop(address, None)
+        if socket is not None:
+            socket.close()
+
+    async def ask(self, address: str, message: Any, seconds: float) -> Any:
+        """Send a request and return the reply.
+
+        Raises the RequestError that the peer answered, or PeerUnreachableError when no reply
+        came; the peer may then have taken the request.
+        """
+        data = encode_bytes(message, Request)
+        try:
+            async with asyncio.timeout(seconds):
+                answer = await self._exchange(address, data)
+        except (TimeoutError, pynng.NNGException) as error:
+            self._drop(address)
+            raise PeerUnreachableError(f"{address}: {error!r}") from error
+        reply = decode_bytes(answer, Reply)
+        if isinstance(reply, ErrorReply):
+            raise reply.to_error()
+        return reply
+
+    async def _exchange(self, address: str, data: bytes) -> bytes:
+        socket = self._sockets.get(address)
+        if socket is None:
+            socket = pynng.Req0(resend_time=NO_RESEND_MILLISECONDS)
+            socket.recv_max_size = MAX_MESSAGE_BYTES
+            self._sockets[address] = socket
+            socket.dial(address, block=False)
+        with socket.new_context() as context:
+            await context.asend(data)
+            return await context.arecv()
+
+
+class PeerServer:
+    """Answers peers; any number of requests at once."""
+
+    def __init__(self, address: str, handle: Handler, log: Any) -> None:
+        self._address = address
+        self._handle = handle
+        self._log = log
+        self._socket: pynng.Rep0 | None = None
+        self._tasks = TaskGroup()
+        self._idle = 0
+
+    async def start(self) -> None:
+        """Listen."""
+        self._socket = pynng.Rep0()
+        self._socket.recv_max_size = MAX_MESSAGE_BYTES
+        self._socket.listen(self._address)
+        for _ in range(MIN_IDLE_CONTEXTS):
+            self._tasks.spawn(self._serve())
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._tasks.close()
+        if self._socket is not None:
+            self._socket.close()
+
+    async def _serve(self) -> None:
+        """Serve requests on one context; starts another when few are left idle."""
+        with self._socket.new_context() as context:
+            while self._idle < MAX_IDLE_CONTEXTS:
+                self._idle += 1
+                try:
+                    data = await context.arecv()
+                finally:
+                    self._idle -= 1
+                if self._idle < MIN_IDLE_CONTEXTS:
+                    self._tasks.spawn(self._serve())
+                await context.asend(await self._answer(data))
+
+    async def _answer(self, data: bytes) -> bytes:
+        try:
+            reply = await self._handle(decode_bytes(data, Request))
+        except RequestError as error:
+            reply = ErrorReply.from_error(error)
+        except Exception as error:
+            self._log.error("a peer's request failed", error=repr(error))
+            reply = ErrorReply(ErrorKind.INTERNAL, repr(error), Verdict.MAY_HAVE_RUN)
+        return encode_bytes(reply, Reply)
--- /dev/null
+++ b/egretford/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform: object API and instance list."""
--- /dev/null
+++ b/egretford/platform/http.py
@@ -0,0 +1,112 @@
+"""The platform's object API over HTTP."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+import orjson
+
+from egretford.errors import ObjectMissingError, StoreUnavailableError, VersionConflictError
+from egretford.platform.objects import Changes, StoredObject
+
+WATCH_GRACE_SECONDS = 2.0
+
+
+class HttpPlatform:
+    """A client of the object API; one connection pool."""
+
+    def __init__(self, url: str, timeout: float) -> None:
+        self._url = url.rstrip("/")
+        self._timeout = timeout
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        self._session = aiohttp.ClientSession()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, key: str) -> StoredObject:
+        """Read one object; raises ObjectMissingError."""
+        return _read_object(await self._call("GET", _object_path(key)))
+
+    async def list(self, prefix: str) -> list[StoredObject]:
+        """Read all objects under a prefix, sorted by key."""
+        found: list[StoredObject] = []
+        after = ""
+        while True:
+            params = {"prefix": prefix, "after": after}
+            page = await self._call("GET", "/objects", params=params)
+            found.extend(_read_object(item) for item in page["objects"])
+            if not page["more"]:
+                return found
+            after = found[-1].key
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Create an object; raises VersionConflictError if it exists."""
+        return await self._put(key, value, {"If-None-Match": "*"})
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        """Replace an object that has `version`."""
+        return await self._put(key, value, {"If-Match": str(version)})
+
+    async def _put(self, key: str, value: bytes, headers: dict[str, str]) -> int:
+        answer = await self._call("PUT", _object_path(key), headers=headers, data=value)
+        return answer["version"]
+
+    async def delete(self, key: str, version: int | None = None) -> None:
+        """Delete an object, if it has `version`."""
+        headers = {} if version is None else {"If-Match": str(version)}
+        await self._call("DELETE", _object_path(key), headers=headers)
+
+    async def watch(self, prefix: str, revision: int, seconds: float) -> Changes:
+        """Wait up to `seconds` for changes under a prefix after `revision`."""
+        params = {"prefix": prefix, "revision": str(revision), "seconds": str(seconds)}
+        limit = seconds + WATCH_GRACE_SECONDS
+        answer = await self._call("GET", "/watch", params=params, timeout=limit)
+        changed = [_read_object(item) for item in answer["changed"]]
+        return Changes(answer["revision"], changed, answer["deleted"])
+
+    async def list_leaving(self) -> set[str]:
+        """Return addresses that the lagging instance list shows as leaving."""
+        answer = await self._call("GET", "/instances")
+        return {item["address"] for item in answer["instances"] if item["state"] == "leaving"}
+
+    async def _call(self, method: str, path: str, timeout: float = 0.0, **options: Any) -> Any:
+        if self._session is None:
+            raise StoreUnavailableError("the platform client is not started")
+        limit = aiohttp.ClientTimeout(total=timeout or self._timeout)
+        try:
+            async with self._session.request(
+                method, self._url + path, timeout=limit, **options
+            ) as response:
+                body = await response.read()
+                return _check_status(response.status, path, body)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
+
+
+def _object_path(key: str) -> str:
+    return "/objects/" + quote(key, safe="/")
+
+
+def _read_object(item: dict[str, Any]) -> StoredObject:
+    return StoredObject(item["key"], base64.b64decode(item["value"]), item["version"])
+
+
+def _check_status(status: int, path: str, body: bytes) -> Any:
+    match status:
+        case 200 | 201:
+            return orjson.loads(body)
+        case 404:
+            raise ObjectMissingError(path)
+        case 409 | 412:
+            raise VersionConflictError(path)
+        case _:
+            raise StoreUnavailableError(f"{path}: status {status}: {body[:200]!r}")
--- /dev/null
+++ b/egretford/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling core: synchronous decisions over typed values, without I/O."""
--- /dev/null
+++ b/egretford/policy/segments.py
@@ -0,0 +1,82 @@
+"""Book-keeping of journal segments: packing batches, and which segments may go.
+
+Segments are cleaned from the oldest: the live trees that start there are appended
+again, and once that is durable every segment older than any live tree is deleted.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from attrs import Factory, define
+
+from egretford.codec import encode_bytes
+from egretford.policy.records import Record
+
+MAX_SEGMENT_BYTES = 900_000
+MIN_SEGMENTS_BEFORE_CLEANING = 64
+LIVE_BYTES_FACTOR = 3
+TREES_PER_CLEANING = 64
+
+
+def measure_record(record: Record) -> int:
+    """Return the encoded size of a record in bytes."""
+    return len(encode_bytes(record, Record))
+
+
+def pack_records(records: Iterable[Record], limit: int = MAX_SEGMENT_BYTES) -> Iterator[list]:
+    """Split records into lists that each fit one segment; order is kept."""
+    chunk: list[Record] = []
+    size = 0
+    for record in records:
+        length = measure_record(record)
+        if chunk and size + length > limit:
+            yield chunk
+            chunk, size = [], 0
+        chunk.append(record)
+        size += length
+    if chunk:
+        yield chunk
+
+
+@define
+class SegmentLedger:
+    """Sizes of the stored segments and the first segment that each tree needs."""
+
+    sizes: dict[int, int] = Factory(dict)
+    first_needed: dict[str, int] = Factory(dict)
+
+    def add(self, number: int, size: int, roots: Iterable[str]) -> None:
+        """Note a durable segment and the trees that have records in it."""
+        self.sizes[number] = size
+        for root in roots:
+            self.first_needed.setdefault(root, number)
+
+    def move(self, root: str, number: int) -> None:
+        """Note that everything of a tree stands in `number` and later segments."""
+        if root in self.first_needed:
+            self.first_needed[root] = number
+
+    def forget(self, root: str) -> None:
+        """Note that a tree needs no segment any more."""
+        self.first_needed.pop(root, None)
+
+    def list_deletable(self) -> list[int]:
+        """Return the segments older than all that live trees need, oldest first."""
+        newest = max(self.sizes, default=0)
+        keep_from = min(self.first_needed.values(), default=newest)
+        return sorted(number for number in self.sizes if number < min(keep_from, newest))
+
+    def note_deleted(self, number: int) -> None:
+        """Forget a segment that the store has deleted."""
+        self.sizes.pop(number, None)
+
+    def list_for_cleaning(self) -> list[str]:
+        """Return the trees that hold up the oldest segments, when there is too much garbage."""
+        if len(self.sizes) <= self._allowed_segments():
+            return []
+        ordered = sorted(self.first_needed, key=self.first_needed.__getitem__)
+        return ordered[:TREES_PER_CLEANING]
+
+    def _allowed_segments(self) -> int:
+        return MIN_SEGMENTS_BEFORE_CLEANING + LIVE_BYTES_FACTOR * len(self.first_needed)
--- /dev/null
+++ b/egretford/standin/engine.py
@@ -0,0 +1,354 @@
+"""The stand-in model engine: chat completions with SSE over the batching model."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections import deque
+from collections.abc import AsyncIterator
+from typing import Any
+
+import orjson
+from attrs import Factory, define, frozen
+from blacksheep import Application, Request, Response, StreamedContent
+
+from egretford.api.routing import add_route
+from egretford.codec import explain_error, from_json
+from egretford.standin.batching import BatchModel, EngineProfile, EngineRequest
+from egretford.standin.cache import Block
+from egretford.standin.platform import reply_json
+
+CRASH_MARK = "CRASH-ENGINE"
+RESTART_SECONDS = 1.0
+LOAD_LAG_SECONDS = 0.5
+EVENT_LAG_SECONDS = 1.0
+EVENT_GAP_EVERY = 7
+KEPT_STREAMS = 512
+
+
+@frozen
+class CompletionRequest:
+    """The body of a completion as the engine takes it."""
+
+    messages: list[dict[str, Any]]
+    model: str = ""
+    max_tokens: int = 256
+    stream: bool = True
+    request_id: str = ""
+    program: str = ""
+    skip_tokens: int = 0
+
+
+@frozen
+class Order:
+    """An order to load something or to change role, with its fencing number."""
+
+    kind: str
+    value: str
+    fencing: int
+
+
+@define
+class LiveStream:
+    """A request's tokens so far; readers wait on `changed`."""
+
+    request: EngineRequest
+    broken: bool = False
+    changed: asyncio.Event = Factory(asyncio.Event)
+
+    def wake(self) -> None:
+        """Wake all readers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class StreamBrokenError(Exception):
+    """Ends a response without its last chunk, as a crash would."""
+
+
+class EngineStandin:
+    """Routes and the loop of the stand-in engine."""
+
+    def __init__(self, profile: EngineProfile, *, fencing_checked: bool = False) -> None:
+        self.model = BatchModel(profile)
+        self.profile = profile
+        self.fencing_checked = fencing_checked
+        self.fencing = 0
+        self.orders: dict[str, str] = {}
+        self.boot = secrets.token_hex(4)
+        self.leaving = False
+        self.down_until = 0.0
+        self.freeze_until = 0.0
+        self.streams: dict[str, LiveStream] = {}
+        self.loads: deque[tuple[float, dict[str, Any]]] = deque(maxlen=1_000)
+        self.events: list[tuple[float, dict[str, Any]]] = []
+        self.prefilled_tokens = 0
+        self.app = Application()
+        self.app.on_start += self.start
+        self._work = asyncio.Event()
+        self._loop: asyncio.Task[None] | None = None
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        add_route(self.app, "POST", "/v1/chat/completions", self.complete)
+        add_route(self.app, "GET", "/v1/streams/:request_id", self.resume)
+        add_route(self.app, "DELETE", "/v1/streams/:request_id", self.cancel)
+        add_route(self.app, "POST", "/release", self.release)
+        add_route(self.app, "POST", "/kv/export", self.export_cache)
+        add_route(self.app, "POST", "/kv/import", self.import_cache)
+        add_route(self.app, "POST", "/orders", self.take_order)
+        add_route(self.app, "POST", "/faults", self.set_fault)
+        add_route(self.app, "GET", "/load", self.read_load)
+        add_route(self.app, "GET", "/events", self.read_events)
+        add_route(self.app, "GET", "/memory", self.read_memory)
+        add_route(self.app, "GET", "/healthz", self.check_health)
+
+    async def start(self, _: Application) -> None:
+        """Start the batching loop."""
+        self._loop = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            if self.model.is_idle:
+                self._note_load()
+                self._work.clear()
+                await self._work.wait()
+            duration, progressed = self.model.step()
+            await asyncio.sleep(duration + max(0.0, self.freeze_until - time.monotonic()))
+            for request in progressed:
+                self._wake(request)
+            self._note_load()
+
+    def _wake(self, request: EngineRequest) -> None:
+        stream = self.streams.get(request.request_id)
+        if stream is not None:
+            stream.wake()
+        if request.is_done:
+            self._note_event(request)
+
+    def _note_load(self) -> None:
+        load = {
+            "running": len(self.model.running),
+            "waiting": len(self.model.waiting),
+            "cache_used": self.model.cache.used_tokens,
+            "slots": self.profile.slots,
+        }
+        self.loads.append((time.monotonic(), load))
+
+    def _note_event(self, request: EngineRequest) -> None:
+        event = {
+            "sequence": len(self.events) + 1,
+            "program": request.program,
+            "tokens": request.prompt_tokens + request.length,
+        }
+        self.events.append((time.monotonic(), event))
+
+    def _refusal(self) -> Response | None:
+        if time.monotonic() < self.down_until:
+            return reply_json(503, {"error": "restarting"})
+        if self.leaving:
+            return reply_json(503, {"error": "leaving"})
+        return None
+
+    async def complete(self, request: Request) -> Response:
+        """Run a completion, streamed or whole."""
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        try:
+            body = from_json(orjson.loads(await request.read() or b""), CompletionRequest)
+        except Exception as error:
+            return reply_json(400, {"error": explain_error(error)})
+        if any(CRASH_MARK in str(message.get("content")) for message in body.messages):
+            self._crash()
+            raise StreamBrokenError("crashed")
+        stream = self._submit(body)
+        if body.stream:
+            return self._stream_response(stream, body.skip_tokens)
+        while not stream.request.is_done:
+            await stream.changed.wait()
+            self._check_broken(stream)
+        return reply_json(200, _whole_body(stream.request))
+
+    def _submit(self, body: CompletionRequest) -> LiveStream:
+        request = EngineRequest(
+            request_id=body.request_id or secrets.token_hex(8),
+            program=body.program,
+            messages=body.messages,
+            max_tokens=body.max_tokens,
+            skip=body.skip_tokens,
+        )
+        stream = LiveStream(request)
+        self.streams[request.request_id] = stream
+        if len(self.streams) > KEPT_STREAMS:
+            done = [key for key, live in self.streams.items() if live.request.is_done]
+            for key in done[: len(done) // 2]:
+                del self.streams[key]
+        self.model.submit(request)
+        self._work.set()
+        return stream
+
+    def _stream_response(self, stream: LiveStream, first: int) -> Response:
+        async def write() -> AsyncIterator[bytes]:
+            async for line in self._write_events(stream, first):
+                yield line
+
+        return Response(200, content=StreamedContent(b"text/event-stream", write))
+
+    async def _write_events(self, stream: LiveStream, first: int) -> AsyncIterator[bytes]:
+        index = first
+        request = stream.request
+        while True:
+            self._check_broken(stream)
+            changed = stream.changed
+            while index < request.emitted:
+                yield _write_event({"token": index, **_delta(request.token_text(index))})
+                index += 1
+            if request.is_done:
+                break
+            await changed.wait()
+        yield _write_event({"usage": _usage(request), "boot": self.boot, "choices": []})
+        yield b"data: [DONE]\n\n"
+
+    def _check_broken(self, stream: LiveStream) -> None:
+        if stream.broken:
+            raise StreamBrokenError(stream.request.request_id)
+
+    async def resume(self, request: Request) -> Response:
+        """Stream a request again from a token."""
+        refusal = self._refusal()
+        if refusal is not None and not self.leaving:
+            return refusal
+        stream = self.streams.get(request.route_values["request_id"])
+        if stream is None or stream.broken:
+            return reply_json(404, {"error": "no such stream"})
+        values = request.query.get("from")
+        return self._stream_response(stream, int(values[0]) if values else 0)
+
+    async def cancel(self, request: Request) -> Response:
+        """Cancel a request; repeatable."""
+        stream = self.streams.pop(request.route_values["request_id"], None)
+        if stream is not None and not stream.request.is_done:
+            self.model.cancel(stream.request.request_id)
+            stream.broken = True
+            stream.wake()
+        return reply_json(200, {"cancelled": stream is not None})
+
+    def _crash(self) -> None:
+        for stream in self.streams.values():
+            stream.broken = not stream.request.is_done
+            stream.wake()
+        self.streams.clear()
+        self.model = BatchModel(self.profile)
+        self.boot = secrets.token_hex(4)
+        self.down_until = time.monotonic() + RESTART_SECONDS
+
+    async def release(self, request: Request) -> Response:
+        """Free what an ended program holds; repeatable."""
+        body = orjson.loads(await request.read() or b"{}")
+        program = body["program"]
+        for key, stream in list(self.streams.items()):
+            if stream.request.program == program and not stream.request.is_done:
+                self.model.cancel(key)
+                stream.broken = True
+                stream.wake()
+        freed = self.model.cache.release(program)
+        return reply_json(200, {"freed": freed, "boot": self.boot})
+
+    async def export_cache(self, request: Request) -> Response:
+        """Answer a program's cached blocks."""
+        program = orjson.loads(await request.read() or b"{}")["program"]
+        blocks = [
+            [chain, cached.tokens]
+            for chain, cached in self.model.cache.blocks.items()
+            if program in cached.programs
+        ]
+        return reply_json(200, {"program": program, "blocks": blocks})
+
+    async def import_cache(self, request: Request) -> Response:
+        """Take blocks that another engine exported."""
+        body = orjson.loads(await request.read() or b"{}")
+        blocks = [Block(chain, tokens) for chain, tokens in reversed(body["blocks"])]
+        self.model.cache.insert(blocks, body["program"])
+        return reply_json(200, {"tokens": sum(block.tokens for block in blocks)})
+
+    async def take_order(self, request: Request) -> Response:
+        """Take an order; refuses an old fencing number when this engine checks them."""
+        try:
+            order = from_json(orjson.loads(await request.read() or b""), Order)
+        except Exception as error:
+            return reply_json(400, {"error": explain_error(error)})
+        if self.fencing_checked and order.fencing < self.fencing:
+            return reply_json(409, {"error": "old fencing number", "fencing": self.fencing})
+        self.fencing = max(self.fencing, order.fencing)
+        self.orders[order.kind] = order.value
+        return reply_json(200, {"orders": self.orders, "fencing": self.fencing})
+
+    async def set_fault(self, request: Request) -> Response:
+        """Crash, freeze for a while, or start leaving."""
+        body = orjson.loads(await request.read() or b"{}")
+        match body.get("kind"):
+            case "crash":
+                self._crash()
+            case "freeze":
+                self.freeze_until = time.monotonic() + float(body.get("seconds", 1.0))
+            case "leaving":
+                self.leaving = True
+            case "serving":
+                self.leaving = False
+            case other:
+                return reply_json(400, {"error": f"unknown fault {other!r}"})
+        return reply_json(200, {"kind": body["kind"]})
+
+    async def read_load(self, request: Request) -> Response:
+        """Answer the load as it was a while ago."""
+        if time.monotonic() < self.down_until:
+            return reply_json(503, {"error": "restarting"})
+        cutoff = time.monotonic() - LOAD_LAG_SECONDS
+        known = [load for at, load in self.loads if at <= cutoff]
+        load = known[-1] if known else {"running": 0, "waiting": 0, "slots": self.profile.slots}
+        return reply_json(200, {**load, "boot": self.boot, "leaving": self.leaving})
+
+    async def read_events(self, request: Request) -> Response:
+        """Answer cache events, late and with gaps."""
+        values = request.query.get("after")
+        after = int(values[0]) if values else 0
+        cutoff = time.monotonic() - EVENT_LAG_SECONDS
+        events = [
+            event
+            for at, event in self.events[after:]
+            if at <= cutoff and event["sequence"] % EVENT_GAP_EVERY
+        ]
+        return reply_json(200, {"events": events, "boot": self.boot})
+
+    async def read_memory(self, request: Request) -> Response:
+        """Answer the tokens held now, by program."""
+        held = self.model.cache.measure_programs()
+        rows = [{"program": program, "tokens": tokens} for program, tokens in held.items()]
+        return reply_json(200, rows)
+
+    async def check_health(self, request: Request) -> Response:
+        """Answer that the process serves."""
+        return reply_json(200, {"state": "alive", "boot": self.boot, "orders": self.orders})
+
+
+def _usage(request: EngineRequest) -> dict[str, int]:
+    return {
+        "prompt_tokens": request.prompt_tokens,
+        "cached_tokens": request.cached,
+        "completion_tokens": request.length - request.skip,
+    }
+
+
+def _delta(text: str) -> dict[str, Any]:
+    return {"choices": [{"index": 0, "delta": {"content": text}}]}
+
+
+def _whole_body(request: EngineRequest) -> dict[str, Any]:
+    message = {"role": "assistant", "content": request.answer_text()}
+    return {"choices": [{"index": 0, "message": message}], "usage": _usage(request)}
+
+
+def _write_event(body: dict[str, Any]) -> bytes:
+    return b"data: " + orjson.dumps(body) + b"\n\n"
--- /dev/null
+++ b/egretford/standin/service.py
@@ -0,0 +1,130 @@
+"""The stand-in service: repeatable and non-repeatable calls, and a ledger of effects."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import orjson
+from attrs import define, field, frozen, validators
+from blacksheep import Application, Request, Response
+
+from egretford.api.routing import add_route
+from egretford.codec import explain_error, from_json
+from egretford.standin.engine import StreamBrokenError
+from egretford.standin.platform import reply_json
+
+HANG_SECONDS = 3_600.0
+LOAD_LAG_SECONDS = 0.5
+
+
+@frozen
+class ToolCall:
+    """The body of a call as the service takes it."""
+
+    program: str
+    call: int
+    messages: list[dict[str, Any]]
+    repeatable: bool = False
+
+
+@frozen
+class ServiceFault:
+    """The next `count` calls hang, lose their reply after the effect, or are refused."""
+
+    kind: str = field(validator=validators.in_(("hang", "lost_reply", "refuse")))
+    count: int = field(default=1, validator=validators.ge(0))
+
+
+@define
+class Ledger:
+    """How often each key took effect."""
+
+    effects: dict[str, int] = field(factory=dict)
+
+    def add(self, key: str) -> int:
+        """Count an effect; returns how many there are of its key."""
+        self.effects[key] = self.effects.get(key, 0) + 1
+        return self.effects[key]
+
+
+class ServiceStandin:
+    """Routes of the stand-in service."""
+
+    def __init__(self, seconds_per_call: float = 0.02) -> None:
+        self.ledger = Ledger()
+        self.seconds_per_call = seconds_per_call
+        self.faults: dict[str, int] = {}
+        self.running = 0
+        self.leaving = False
+        self.boot = str(time.time_ns())
+        self.app = Application()
+        add_route(self.app, "POST", "/call", self.call)
+        add_route(self.app, "POST", "/faults", self.set_fault)
+        add_route(self.app, "GET", "/effects", self.read_effects)
+        add_route(self.app, "GET", "/load", self.read_load)
+        add_route(self.app, "GET", "/healthz", self.check_health)
+
+    def _take_fault(self, kind: str) -> bool:
+        if self.faults.get(kind, 0) < 1:
+            return False
+        self.faults[kind] -= 1
+        return True
+
+    async def call(self, request: Request) -> Response:
+        """Run one call; a non-repeatable one leaves an effect in the ledger."""
+        try:
+            body = from_json(orjson.loads(await request.read() or b""), ToolCall)
+        except Exception as error:
+            return reply_json(400, {"error": explain_error(error)})
+        if self.leaving or self._take_fault("refuse"):
+            return reply_json(503, {"error": "leaving" if self.leaving else "refused"})
+        self.running += 1
+        try:
+            return await self._run(body)
+        finally:
+            self.running -= 1
+
+    async def _run(self, body: ToolCall) -> Response:
+        if self._take_fault("hang"):
+            await asyncio.sleep(HANG_SECONDS)
+        await asyncio.sleep(self.seconds_per_call)
+        key = f"{body.program}/{body.call}"
+        count = 0 if body.repeatable else self.ledger.add(key)
+        if self._take_fault("lost_reply"):
+            raise StreamBrokenError("the reply is lost on purpose")
+        request = body.messages[-1].get("content") if body.messages else None
+        return reply_json(200, {"result": {"done": request, "key": key, "effects": count}})
+
+    async def set_fault(self, request: Request) -> Response:
+        """Arm a fault for the next calls, or start and stop leaving."""
+        raw = orjson.loads(await request.read() or b"{}")
+        if raw.get("kind") in ("leaving", "serving"):
+            self.leaving = raw["kind"] == "leaving"
+            return reply_json(200, raw)
+        try:
+            fault = from_json(raw, ServiceFault)
+        except Exception as error:
+            return reply_json(400, {"error": explain_error(error)})
+        self.faults[fault.kind] = fault.count
+        return reply_json(200, {"kind": fault.kind, "count": fault.count})
+
+    async def read_effects(self, request: Request) -> Response:
+        """Answer the ledger."""
+        rows = [{"key": key, "count": count} for key, count in self.ledger.effects.items()]
+        return reply_json(200, rows)
+
+    async def read_load(self, request: Request) -> Response:
+        """Answer the load."""
+        body = {
+            "running": self.running,
+            "waiting": 0,
+            "boot": self.boot,
+            "leaving": self.leaving,
+        }
+        return reply_json(200, body)
+
+    async def check_health(self, request: Request) -> Response:
+        """Answer that the process serves."""
+        return reply_json(200, {"state": "alive", "boot": self.boot})
--- /dev/null
+++ b/egretford/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Access to upstreams: model engines and plain services."""
--- /dev/null
+++ b/egretford/upstream/http.py
@@ -0,0 +1,238 @@
+"""Upstreams over HTTP: OpenAI-style completions with SSE, and JSON services."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import orjson
+
+from egretford.errors import (
+    UpstreamError,
+    UpstreamLostError,
+    UpstreamRefusedError,
+    UpstreamRejectedError,
+)
+from egretford.models import Usage, Worker
+from egretford.settings import UpstreamSettings
+from egretford.upstream.interface import (
+    Finish,
+    LoadReport,
+    ModelDispatch,
+    Order,
+    Token,
+    ToolDispatch,
+)
+
+CONTROL_SECONDS = 1.0
+MAX_RESUMES = 3
+DATA_PREFIX = b"data: "
+DONE = b"[DONE]"
+_NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+
+class HttpUpstream:
+    """A client of all workers.
+
+    Model calls share pooled connections. Everything else, and every resumed stream,
+    gets a connection of its own, so that one that has gone silent is never reused.
+    """
+
+    def __init__(self, settings: UpstreamSettings) -> None:
+        self._settings = settings
+        self._pooled: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pools."""
+        self._pooled = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._fresh = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in (self._pooled, self._fresh):
+            if session is not None:
+                await session.close()
+
+    async def run_model(
+        self, worker: Worker, dispatch: ModelDispatch
+    ) -> AsyncIterator[Token | Finish]:
+        """Stream an answer, on a new connection each time the last one goes silent."""
+        index = dispatch.skip_tokens
+        resumes = 0
+        while True:
+            try:
+                async for event in self._open_stream(worker, dispatch, index, resumes > 0):
+                    if isinstance(event, Token):
+                        index = event.index + 1
+                        resumes = min(resumes, 1)
+                    yield event
+                return
+            except _NETWORK_ERRORS as error:
+                resumes += 1
+                await self._check_alive(worker, resumes, error)
+
+    async def _open_stream(
+        self, worker: Worker, dispatch: ModelDispatch, index: int, resumed: bool
+    ) -> AsyncIterator[Token | Finish]:
+        if resumed:
+            url = f"{worker.address}/v1/streams/{dispatch.request_id}"
+            request = self._fresh.get(url, params={"from": str(index)}, timeout=self._limits())
+        else:
+            url = f"{worker.address}/v1/chat/completions"
+            body = orjson.dumps(_write_completion(dispatch))
+            request = self._pooled.post(url, data=body, timeout=self._limits())
+        try:
+            response = await request
+        except aiohttp.ClientConnectorError as error:
+            if resumed:
+                raise UpstreamLostError(f"{worker.name}: {error}", crashed=True) from error
+            raise UpstreamRefusedError(f"{worker.name}: {error}") from error
+        async with response:
+            await _check_status(worker, response, sent_before=resumed)
+            async for event in _read_events(response):
+                yield event
+
+    def _limits(self) -> aiohttp.ClientTimeout:
+        settings = self._settings
+        return aiohttp.ClientTimeout(
+            total=None, sock_connect=settings.connect, sock_read=settings.silence
+        )
+
+    async def _check_alive(self, worker: Worker, resumes: int, error: BaseException) -> None:
+        """Return if the stream is worth resuming; raises UpstreamLostError otherwise."""
+        if resumes > MAX_RESUMES:
+            raise UpstreamLostError(
+                f"{worker.name}: silent {resumes} times", crashed=False
+            ) from error
+        try:
+            await self.read_load(worker)
+        except UpstreamError as gone:
+            crashed = not isinstance(error, asyncio.TimeoutError)
+            raise UpstreamLostError(f"{worker.name}: {error!r}", crashed=crashed) from gone
+
+    async def run_tool(self, worker: Worker, dispatch: ToolDispatch, seconds: float) -> Any:
+        """Run a tool call once, on a connection of its own."""
+        body = {
+            "program": dispatch.program,
+            "call": dispatch.call,
+            "messages": dispatch.messages,
+            "repeatable": dispatch.repeatable,
+        }
+        headers = {"Idempotency-Key": f"{dispatch.program}/{dispatch.call}"}
+        limits = aiohttp.ClientTimeout(total=seconds, sock_connect=self._settings.connect)
+        try:
+            async with self._fresh.post(
+                f"{worker.address}/call", data=orjson.dumps(body), headers=headers, timeout=limits
+            ) as response:
+                await _check_status(worker, response, sent_before=False)
+                return orjson.loads(await response.read())["result"]
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise UpstreamRefusedError(f"{worker.name}: {error}") from error
+        except TimeoutError as error:
+            raise UpstreamLostError(f"{worker.name}: no reply in time", crashed=False) from error
+        except (aiohttp.ClientError, OSError, ValueError, KeyError) as error:
+            raise UpstreamLostError(f"{worker.name}: {error!r}", crashed=True) from error
+
+    async def cancel(self, worker: Worker, request_id: str) -> None:
+        """Cancel a model call; errors are ignored."""
+        try:
+            await self._control("DELETE", worker, f"/v1/streams/{request_id}", None)
+        except UpstreamError:
+            return
+
+    async def release(self, worker: Worker, program: str) -> None:
+        """Free the memory of an ended program."""
+        await self._control("POST", worker, "/release", {"program": program})
+
+    async def read_load(self, worker: Worker) -> LoadReport:
+        """Read the load."""
+        body = await self._control("GET", worker, "/load", None)
+        try:
+            return LoadReport(
+                running=body["running"],
+                waiting=body["waiting"],
+                boot=str(body.get("boot", "")),
+                leaving=bool(body.get("leaving", False)),
+            )
+        except (KeyError, TypeError) as error:
+            raise UpstreamRefusedError(f"{worker.name}: malformed load {body!r}") from error
+
+    async def send_order(self, worker: Worker, order: Order) -> dict[str, str]:
+        """Give an order; an old fencing number is refused by workers that check it."""
+        body = {"kind": order.kind, "value": order.value, "fencing": order.fencing}
+        return (await self._control("POST", worker, "/orders", body))["orders"]
+
+    async def _control(self, method: str, worker: Worker, path: str, body: Any) -> Any:
+        data = None if body is None else orjson.dumps(body)
+        limits = aiohttp.ClientTimeout(total=CONTROL_SECONDS)
+        try:
+            async with self._fresh.request(
+                method, worker.address + path, data=data, timeout=limits
+            ) as response:
+                await _check_status(worker, response, sent_before=False)
+                return orjson.loads(await response.read())
+        except (*_NETWORK_ERRORS, ValueError) as error:
+            raise UpstreamLostError(f"{worker.name}: {path}: {error!r}", crashed=False) from error
+
+
+def _write_completion(dispatch: ModelDispatch) -> dict[str, Any]:
+    return {
+        "model": dispatch.model,
+        "messages": dispatch.messages,
+        "max_tokens": dispatch.max_tokens,
+        "stream": True,
+        "request_id": dispatch.request_id,
+        "program": dispatch.program,
+        "skip_tokens": dispatch.skip_tokens,
+    }
+
+
+async def _check_status(
+    worker: Worker, response: aiohttp.ClientResponse, *, sent_before: bool
+) -> None:
+    if response.status < 300:
+        return
+    text = (await response.text())[:200]
+    message = f"{worker.name}: status {response.status}: {text}"
+    if sent_before:
+        raise UpstreamLostError(message, crashed=False)
+    match response.status:
+        case 429 | 503:
+            raise UpstreamRefusedError(message, leaving="leaving" in text)
+        case 400 | 404 | 409 | 413 | 422:
+            raise UpstreamRejectedError(message)
+        case _:
+            raise UpstreamLostError(message, crashed=False)
+
+
+async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[Token | Finish]:
+    finished = False
+    async for line in response.content:
+        if not line.startswith(DATA_PREFIX):
+            continue
+        data = line[len(DATA_PREFIX) :].strip()
+        if data == DONE:
+            break
+        event = _parse_event(orjson.loads(data))
+        finished = finished or isinstance(event, Finish)
+        yield event
+    if not finished:
+        raise aiohttp.ClientPayloadError("the stream ended before the answer did")
+
+
+def _parse_event(body: dict[str, Any]) -> Token | Finish:
+    usage = body.get("usage")
+    if usage is None:
+        return Token(body["token"], body["choices"][0]["delta"]["content"])
+    return Finish(
+        Usage(
+            prompt=usage["prompt_tokens"],
+            cached=usage["cached_tokens"],
+            completion=usage["completion_tokens"],
+        )
+    )
--- /dev/null
+++ b/scripts/local_deployment.py
@@ -0,0 +1,207 @@
+"""Runs a whole deployment on this machine: stand-ins and entries as separate processes."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+from attrs import evolve
+
+from egretford.codec import to_json
+from egretford.models import Pool, PoolKind, Tables
+from egretford.tables import read_json, read_tables
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+HOST = "127.0.0.1"
+READY_SECONDS = 30.0
+END_SECONDS = 20.0
+
+
+def main() -> int:
+    """Parse the command line and run `up` or `down`."""
+    parser = argparse.ArgumentParser(prog="scripts/local", description=__doc__)
+    commands = parser.add_subparsers(dest="command", required=True)
+    up = commands.add_parser("up", help="start a deployment")
+    up.add_argument("--entries", type=int, default=3)
+    up.add_argument("--state", type=Path, required=True)
+    up.add_argument("--deployment", choices=("fernhollow", "sialkot"), default="fernhollow")
+    down = commands.add_parser("down", help="end what `up` started")
+    down.add_argument("--state", type=Path, required=True)
+    options = parser.parse_args()
+    if options.command == "up":
+        return start_deployment(options.state, options.entries, options.deployment)
+    return end_deployment(options.state)
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports; all are held open until they are known to differ."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((HOST, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def start_deployment(state: Path, entries: int, deployment: str) -> int:
+    """Start stand-ins, apply the tables, start entries, and write `local.json`."""
+    state.mkdir(parents=True, exist_ok=True)
+    if (state / "local.json").exists():
+        print(f"{state}/local.json exists; run 'scripts/local down --state {state}' first")
+        return 1
+    started: dict[str, Any] = {"platform": {}, "entries": [], "engines": [], "services": []}
+    try:
+        _start_all(state, entries, deployment, started)
+    finally:
+        (state / "local.json").write_text(json.dumps(started, indent=2) + "\n")
+    count = 1 + sum(len(started[name]) for name in ("entries", "engines", "services"))
+    print(f"{count} processes are up; see {state}/local.json")
+    return 0
+
+
+def _start_all(state: Path, entries: int, deployment: str, started: dict[str, Any]) -> None:
+    tables = read_tables(EXAMPLES / deployment / "tables.json")
+    workers = sum(len(pool.workers) for pool in tables.pools)
+    ports = iter(find_ports(1 + workers + 2 * entries))
+    started["platform"] = _start_standin(state, "platform", "platform", next(ports))
+    pools = [_start_pool(state, pool, ports, started) for pool in tables.pools]
+    placed = state / "tables.json"
+    placed.write_text(json.dumps(to_json(Tables(tables.routes, pools)), indent=2))
+    _wait_ready(started["platform"], "/healthz")
+    _apply(placed, started["platform"]["url"])
+    for index in range(entries):
+        started["entries"].append(
+            _start_entry(state, deployment, started["platform"]["url"], index, ports)
+        )
+    for group in ("engines", "services"):
+        for item in started[group]:
+            _wait_ready(item, "/healthz")
+    for item in started["entries"]:
+        _wait_ready(item, "/readyz")
+
+
+def _start_pool(state: Path, pool: Pool, ports: Any, started: dict[str, Any]) -> Pool:
+    kind = "engine" if pool.kind is PoolKind.ENGINE else "service"
+    workers = []
+    for worker in pool.workers:
+        options = ["--slots", str(pool.slots), "--fencing", pool.fencing.value]
+        item = _start_standin(state, kind, worker.name, next(ports), *options)
+        item.update(name=worker.name, pool=pool.name, failure_domain=worker.failure_domain)
+        started[f"{kind}s"].append(item)
+        workers.append(evolve(worker, address=item["url"]))
+    return evolve(pool, workers=workers)
+
+
+def _start_standin(state: Path, kind: str, name: str, port: int, *options: str) -> dict[str, Any]:
+    command = ["standin", kind, "--port", str(port), "--log-level", "WARNING", *options]
+    return {"pid": _spawn(state, name, command), "url": f"http://{HOST}:{port}"}
+
+
+def _start_entry(
+    state: Path, deployment: str, platform: str, index: int, ports: Any
+) -> dict[str, Any]:
+    settings = read_json(EXAMPLES / deployment / "entry.json")
+    domains = list(settings["regions"])
+    domain = domains[index % len(domains)]
+    http, peer = next(ports), next(ports)
+    name = f"{domain}-entry-{index // len(domains) + 1}"
+    settings.update(
+        instance=name,
+        failure_domain=domain,
+        region=settings["regions"][domain],
+        http={"host": HOST, "port": http},
+        peer={"host": HOST, "port": peer},
+        platform={"url": platform},
+    )
+    path = state / f"{name}.json"
+    path.write_text(json.dumps(settings, indent=2))
+    pid = _spawn(state, name, ["entry", "--settings", str(path)])
+    url = f"http://{HOST}:{http}"
+    return {"pid": pid, "url": url, "failure_domain": domain, "settings": str(path)}
+
+
+def _spawn(state: Path, name: str, arguments: list[str]) -> int:
+    command = [sys.executable, "-m", "egretford.cli.main", *arguments]
+    with (state / f"{name}.log").open("ab") as log:
+        process = subprocess.Popen(
+            command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True
+        )
+    return process.pid
+
+
+def _apply(tables: Path, platform: str) -> None:
+    command = [sys.executable, "-m", "egretford.cli.main", "apply", str(tables)]
+    subprocess.run([*command, "--platform", platform], check=True, stdout=subprocess.DEVNULL)
+
+
+def _wait_ready(item: dict[str, Any], path: str) -> None:
+    url = item["url"] + path
+    deadline = time.monotonic() + READY_SECONDS
+    while time.monotonic() < deadline and _is_ours(item["pid"]):
+        try:
+            with urllib.request.urlopen(url, timeout=1):
+                return
+        except (urllib.error.URLError, OSError):
+            time.sleep(0.05)
+    raise SystemExit(f"{url} did not become ready; see the logs in the state folder")
+
+
+def end_deployment(state: Path) -> int:
+    """End just the processes that `local.json` lists: entries first, then stand-ins."""
+    path = state / "local.json"
+    if not path.exists():
+        print(f"no {path}; nothing to end")
+        return 0
+    started = json.loads(path.read_text())
+    groups = [started["entries"], started["engines"] + started["services"]]
+    groups.append([started["platform"]] if started["platform"] else [])
+    for group in groups:
+        _end_processes([item["pid"] for item in group])
+    path.unlink()
+    return 0
+
+
+def _end_processes(pids: list[int]) -> None:
+    mine = [pid for pid in pids if _is_ours(pid)]
+    for pid in mine:
+        _send(pid, signal.SIGCONT)
+        _send(pid, signal.SIGTERM)
+    deadline = time.monotonic() + END_SECONDS
+    while any(_is_ours(pid) for pid in mine) and time.monotonic() < deadline:
+        time.sleep(0.05)
+    for pid in mine:
+        if _is_ours(pid):
+            _send(pid, signal.SIGKILL)
+
+
+def _is_ours(pid: int) -> bool:
+    """Whether the pid is still a process of this project and not a zombie."""
+    try:
+        command = Path(f"/proc/{pid}/cmdline").read_bytes()
+        state = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
+    except OSError:
+        return False
+    return b"egretford" in command and state != "Z"
+
+
+def _send(pid: int, number: int) -> None:
+    try:
+        os.kill(pid, number)
+    except ProcessLookupError:
+        return
+
+
+if __name__ == "__main__":
+    sys.exit(main())
