Add the fault scenarios in virtual time

Cause: the promises need proofs under faults that repeat exactly. Change: fakes at the three interfaces, a virtual event loop, scenarios, checkers and the matrix; escrow slices follow the budget (a sixteenth) instead of a fixed 8,192 tokens. The matrix as a whole has not run yet.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,7 @@
 	@test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	@$(BIN)/python -m pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
 	@touch $@
+
+# The fault matrix; SEED=n runs one cell or pair and prints what broke.
+matrix: .venv
+	@$(BIN)/python -m tests.faults.matrix $(if $(SEED),--seed $(SEED),--write docs/FAULTS.md)
--- a/egretford/api/status.py
+++ b/egretford/api/status.py
@@ -40,10 +40,8 @@
             "incarnation": node.incarnation,
             "ready": self.is_ready,
             "configuration": {
-                "revision": self._instance.configuration.current.revision,
-                "problems": [
-                    str(problem) for problem in self._instance.configuration.current.problems
-                ],
+                "revision": configuration.revision,
+                "problems": [str(problem) for problem in configuration.problems],
             },
             "membership": self._describe_members(),
             "journal": {
--- a/egretford/cli/daemons.py
+++ b/egretford/cli/daemons.py
@@ -52,7 +52,14 @@
     import uvicorn
 
     app = _build_standin(options)
-    uvicorn.run(app, host=options.host, port=options.port, log_config=None, access_log=False)
+    uvicorn.run(
+        app,
+        host=options.host,
+        port=options.port,
+        log_config=None,
+        access_log=False,
+        timeout_graceful_shutdown=1,
+    )
     return ExitStatus.OK
 
 
--- a/egretford/controllers/journal.py
+++ b/egretford/controllers/journal.py
@@ -63,7 +63,7 @@
         root_of: Callable[[str], str],
     ) -> None:
         self.incarnation = incarnation
-        self.ledger = SegmentLedger()
+        self.ledger = SegmentLedger(context.settings.journal.spare_segments)
         self.sealed = asyncio.Event()
         self.appends = 0
         self.bytes_written = 0
--- a/egretford/daemon.py
+++ b/egretford/daemon.py
@@ -76,12 +76,14 @@
     await entry.start()
     serving = asyncio.create_task(server._serve())
     told = asyncio.create_task(leaving.wait())
-    await asyncio.wait([serving, told], return_when=asyncio.FIRST_COMPLETED)
-    if leaving.is_set():
-        await entry.drain()
-    server.should_exit = True
-    await serving
-    await entry.close()
+    try:
+        await asyncio.wait([serving, told], return_when=asyncio.FIRST_COMPLETED)
+        if leaving.is_set():
+            await entry.drain()
+    finally:
+        server.should_exit = True
+        await serving
+        await entry.close()
 
 
 def _build_server(entry: Entry, context: Context) -> uvicorn.Server:
--- a/egretford/peer/messages.py
+++ b/egretford/peer/messages.py
@@ -81,5 +81,5 @@
 )
 Reply = Pong | TablesMessage | ProgramView | CallProgress | Adopted | ErrorReply
 
-configure_tagged_union(Request, converter, tag_name="message")
-configure_tagged_union(Reply, converter, tag_name="message")
+configure_tagged_union(Request, converter, tag_name="_type")
+configure_tagged_union(Reply, converter, tag_name="_type")
--- a/egretford/peer/sockets.py
+++ b/egretford/peer/sockets.py
@@ -60,7 +60,7 @@
         except (TimeoutError, pynng.NNGException) as error:
             self._drop(address)
             raise PeerUnreachableError(f"{address}: {error!r}") from error
-        reply = decode_bytes(answer, Reply)
+        reply = _decode_reply(address, answer)
         if isinstance(reply, ErrorReply):
             raise reply.to_error()
         return reply
@@ -77,6 +77,13 @@
             return await context.arecv()
 
 
+def _decode_reply(address: str, data: bytes) -> Any:
+    try:
+        return decode_bytes(data, Reply)
+    except Exception as error:
+        raise PeerUnreachableError(f"{address}: malformed reply: {error!r}") from error
+
+
 class PeerServer:
     """Answers peers; any number of requests at once."""
 
--- a/egretford/policy/budget.py
+++ b/egretford/policy/budget.py
@@ -13,8 +13,8 @@
 
 from egretford.models import Budget
 
-FIRST_SLICE_TOKENS = 4_096
-SLICE_GROWTH = 2
+MIN_SLICE_TOKENS = 512
+SLICES_PER_BUDGET = 16
 
 
 @define
@@ -60,9 +60,9 @@
         return self.root.committed_tokens + tokens > self.root.ceiling_tokens
 
     def plan_ceiling(self, tokens: int) -> int:
-        """Return the ceiling that covers `tokens` now and as much again, within the budget."""
+        """Return the ceiling that covers `tokens` now and a slice ahead, within the budget."""
         root = self.root
-        wanted = root.committed_tokens + SLICE_GROWTH * max(tokens, FIRST_SLICE_TOKENS)
+        wanted = root.committed_tokens + tokens + measure_slice(root.budget)
         return max(root.ceiling_tokens, min(root.budget.tokens, wanted))
 
     def reserve(self, tokens: int, calls: int) -> None:
@@ -87,6 +87,11 @@
         return max(0, self.root.ceiling_tokens - self.root.spent_tokens)
 
 
+def measure_slice(budget: Budget) -> int:
+    """Return how far a ceiling is raised ahead of need; a crash forfeits about as much."""
+    return max(MIN_SLICE_TOKENS, budget.tokens // SLICES_PER_BUDGET)
+
+
 def first_ceiling(budget: Budget) -> int:
     """Return the ceiling that a program's opening record grants."""
-    return min(budget.tokens, SLICE_GROWTH * FIRST_SLICE_TOKENS)
+    return min(budget.tokens, measure_slice(budget))
--- a/egretford/policy/segments.py
+++ b/egretford/policy/segments.py
@@ -14,8 +14,7 @@
 from egretford.policy.records import Record
 
 MAX_SEGMENT_BYTES = 900_000
-MIN_SEGMENTS_BEFORE_CLEANING = 64
-LIVE_BYTES_FACTOR = 3
+SEGMENTS_PER_TREE = 3
 TREES_PER_CLEANING = 64
 
 
@@ -43,6 +42,7 @@
 class SegmentLedger:
     """Sizes of the stored segments and the first segment that each tree needs."""
 
+    spare_segments: int = 64
     sizes: dict[int, int] = Factory(dict)
     first_needed: dict[str, int] = Factory(dict)
 
@@ -79,4 +79,4 @@
         return ordered[:TREES_PER_CLEANING]
 
     def _allowed_segments(self) -> int:
-        return MIN_SEGMENTS_BEFORE_CLEANING + LIVE_BYTES_FACTOR * len(self.first_needed)
+        return self.spare_segments + SEGMENTS_PER_TREE * len(self.first_needed)
--- a/egretford/settings.py
+++ b/egretford/settings.py
@@ -48,6 +48,7 @@
     writes_per_second: float = field(default=30.0, validator=_positive)
     pending_bytes: int = field(default=16_000_000, validator=_positive)
     durable_wait_seconds: float = field(default=1.5, validator=_positive)
+    spare_segments: int = field(default=64, validator=_positive)
 
 
 @frozen
--- /dev/null
+++ b/tests/faults/checks.py
@@ -0,0 +1,80 @@
+"""Checkers of the promises, over what callers were told and what the world saw."""
+
+from collections import Counter
+
+from egretford.errors import Verdict
+from tests.faults.scenario import BUDGET, Result
+
+LEAVING_SECONDS = 5.0
+
+
+def find_violations(result: Result) -> list[str]:
+    """List every promise that a scenario broke."""
+    return [
+        *result.ledger.wrong,
+        *result.problems,
+        *_check_effects(result),
+        *_check_refusals(result),
+        *_check_budget(result),
+        *_check_memory(result),
+        *_check_configuration(result),
+    ]
+
+
+def count_effects(result: Result) -> Counter:
+    effects: Counter = Counter()
+    for worker in result.world.workers.values():
+        effects.update(worker.effects)
+    return effects
+
+
+def _check_effects(result: Result) -> list[str]:
+    effects = count_effects(result)
+    doubled = [f"{key} took effect {n} times" for key, n in effects.items() if n > 1]
+    lost = [
+        f"{o.program}/{o.call} was answered and has no effect"
+        for o in result.ledger.outcomes
+        if o.answer
+        and o.answer["role"] == "tool"
+        and o.answer["content"]["done"] != f"{o.program}/{o.call}"
+    ]
+    return doubled + lost
+
+
+def _check_refusals(result: Result) -> list[str]:
+    return [
+        f"{told.program}/{told.call} was told not_run ({told.kind}) after it was dispatched"
+        for told in result.ledger.told
+        if told.verdict is Verdict.NOT_RUN and told.was_dispatched
+    ]
+
+
+def _check_budget(result: Result) -> list[str]:
+    """The tokens that engines spent on a tree stay within its root's budget."""
+    spent: Counter = Counter()
+    for worker in result.world.workers.values():
+        spent.update(worker.tokens)
+    return [f"{key} spent {n} tokens" for key, n in spent.items() if n > BUDGET.tokens]
+
+
+def _check_memory(result: Result) -> list[str]:
+    ended = set(result.ledger.ended)
+    return [
+        f"{worker.name} still holds {program}"
+        for worker in result.world.workers.values()
+        for program in sorted(worker.memory & ended)
+    ]
+
+
+def _check_configuration(result: Result) -> list[str]:
+    late = [
+        f"{name} has revision {revision}, not {result.revision}"
+        for name, revision in result.revisions.items()
+        if revision != result.revision
+    ]
+    back = [
+        f"{host.name} went back: {host.revisions}"
+        for host in result.world.hosts.values()
+        if host.revisions != sorted(host.revisions)
+    ]
+    return late + back
--- /dev/null
+++ b/tests/faults/world.py
@@ -0,0 +1,282 @@
+"""The outside world of a scenario: store, workers, network, and the faults they show."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from attrs import Factory, define, field
+
+from egretford.errors import (
+    PeerUnreachableError,
+    RequestError,
+    StoreUnavailableError,
+    UpstreamLostError,
+    UpstreamRefusedError,
+)
+from egretford.models import ErrorReply
+from egretford.standin.objects import ObjectStore
+from tests.faults.virtual import VirtualClock
+
+LATENCY = 0.002
+STORE_TIMEOUT = 2.0
+OUTAGE = 6.0
+LONG = 14.0
+
+
+@define
+class Trigger:
+    """Injects a fault at the nth crossing of a step, before or after its effect."""
+
+    step: str
+    phase: str
+    fault: str
+    nth: int = 1
+    fired: bool = False
+
+
+@define
+class FakeWorker:
+    """An upstream: its effects, tokens spent and memory held, by program."""
+
+    name: str
+    effects: Counter = Factory(Counter)
+    tokens: Counter = Factory(Counter)
+    dispatched: set = Factory(set)
+    memory: set = Factory(set)
+    boot: int = 0
+    running: int = 0
+    hung_until: float = 0.0
+    leaving: bool = False
+    left_at: float | None = None
+    late_grants: int = 0
+
+    def crash(self) -> None:
+        self.boot += 1
+        self.memory.clear()
+
+
+@define
+class Host:
+    """An entry's process as the world sees it."""
+
+    name: str
+    instance: Any = None
+    dead: asyncio.Event = Factory(asyncio.Event)
+    frozen_until: float = 0.0
+    started_at: float = 0.0
+    revisions: list[int] = Factory(list)
+
+    @property
+    def is_dead(self) -> bool:
+        return self.dead.is_set()
+
+
+@define
+class World:
+    rng: random.Random
+    triggers: list[Trigger] = Factory(list)
+    clock: VirtualClock = Factory(VirtualClock)
+    store: ObjectStore = Factory(ObjectStore)
+    hosts: dict[str, Host] = Factory(dict)
+    workers: dict[str, FakeWorker] = Factory(dict)
+    crossings: Counter = Factory(Counter)
+    cuts: dict[tuple[str, str], float] = Factory(dict)
+    store_down_until: float = 0.0
+    store_slow_until: float = 0.0
+    store_lost_until: float = 0.0
+    stale_until: float = 0.0
+    stale_lists: dict = Factory(dict)
+    store_writes: int = 0
+    on_race: Callable[[], None] = field(default=lambda: None)
+    tasks: set = Factory(set)
+
+    def now(self) -> float:
+        return self.clock.monotonic()
+
+    def spawn(self, work: Any) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    # -- crossing an interface ------------------------------------------------------
+
+    async def cross(
+        self, host: Host, target: str, step: str, effect: Callable[[], Any], timeout: float
+    ) -> Any:
+        """Take a request over the network, run its effect, and take the answer back.
+
+        Raises TimeoutError where no answer comes; the effect may have happened.
+        """
+        started = self.now()
+        fault = self._trigger(host, target, step, "before")
+        await self._hold(host)
+        await asyncio.sleep(LATENCY)
+        if fault == "silent" or self._is_cut(host.name, target):
+            await self._never(started, timeout)
+        result = effect()
+        if asyncio.iscoroutine(result):
+            result = await result
+        if fault == "duplicate":
+            self.spawn(self._repeat(effect))
+        fault = self._trigger(host, target, step, "after")
+        await asyncio.sleep(LATENCY)
+        if fault == "silent" or self._is_cut(target, host.name):
+            await self._never(started, timeout)
+        await self._hold(host)
+        return result
+
+    async def _repeat(self, effect: Callable[[], Any]) -> None:
+        await asyncio.sleep(3.0)
+        try:
+            result = effect()
+            if asyncio.iscoroutine(result):
+                await result
+        except Exception:
+            return
+
+    async def _never(self, started: float, timeout: float) -> None:
+        await asyncio.sleep(max(0.0, started + timeout - self.now()))
+        raise TimeoutError
+
+    async def _hold(self, host: Host) -> None:
+        """Hold a dead process for good, and a frozen one until it thaws."""
+        if host.is_dead:
+            await asyncio.Event().wait()
+        while self.now() < host.frozen_until:
+            await asyncio.sleep(host.frozen_until - self.now())
+
+    def _is_cut(self, source: str, target: str) -> bool:
+        now = self.now()
+        return any(
+            now < self.cuts.get(pair, 0.0)
+            for pair in ((source, target), (source, "*"), ("*", target))
+        )
+
+    # -- faults -----------------------------------------------------------------------
+
+    def _trigger(self, host: Host, target: str, step: str, phase: str) -> str | None:
+        if phase == "before":
+            self.crossings[step] += 1
+        for trigger in self.triggers:
+            if (
+                not trigger.fired
+                and (trigger.step, trigger.phase) == (step, phase)
+                and self.crossings[step] >= trigger.nth
+            ):
+                trigger.fired = True
+                return self.inject(trigger.fault, host, target)
+        return None
+
+    def inject(self, fault: str, host: Host, target: str) -> str | None:
+        """Put a fault in force; returns one that concerns only the current crossing."""
+        now = self.now()
+        match fault:
+            case "kill":
+                host.dead.set()
+            case "freeze":
+                host.frozen_until = now + LONG
+            case "cut":
+                self.cuts[(host.name, "*")] = self.cuts[("*", host.name)] = now + LONG
+            case "cut_one_way":
+                self.cuts[("*", host.name)] = now + LONG
+            case "store_cut":
+                self.cuts[(host.name, "store")] = now + LONG
+            case "store_down":
+                self.store_down_until = now + OUTAGE
+            case "store_slow":
+                self.store_slow_until = now + OUTAGE
+            case "store_lost":
+                self.store_lost_until = now + 2.0
+            case "stale_list":
+                self.stale_until = now + LONG
+            case "operator_race":
+                self.on_race()
+            case "worker_crash" | "worker_hang" | "worker_leaving":
+                self._hurt_worker(fault, target)
+            case _:
+                return fault
+        return None
+
+    def _hurt_worker(self, fault: str, target: str) -> None:
+        worker = self.workers.get(target) or self.rng.choice(sorted_workers(self))
+        if fault == "worker_crash":
+            worker.crash()
+        elif fault == "worker_hang":
+            worker.hung_until = self.now() + LONG
+        else:
+            worker.leaving = True
+            worker.left_at = self.now()
+
+    # -- the store --------------------------------------------------------------------
+
+    async def use_store(
+        self, host: Host, step: str, effect: Callable[[], Any], *, write: bool, timeout: float
+    ) -> Any:
+        def guarded() -> Any:
+            if self.now() < self.store_down_until:
+                raise StoreUnavailableError("down")
+            self.store_writes += write
+            return effect()
+
+        if self.now() < self.store_slow_until:
+            await asyncio.sleep(self.rng.uniform(0.5, 1.5))
+        try:
+            result = await self.cross(host, "store", step, guarded, timeout)
+        except TimeoutError as error:
+            raise StoreUnavailableError(step) from error
+        if write and self.now() < self.store_lost_until:
+            raise StoreUnavailableError("answer lost")
+        return result
+
+    # -- peers ------------------------------------------------------------------------
+
+    async def ask_peer(
+        self, host: Host, address: str, message: Any, step: str, seconds: float
+    ) -> Any:
+        target = self.hosts.get(address)
+
+        async def answer() -> Any:
+            if target is None or target.is_dead:
+                raise TimeoutError
+            await self._hold(target)
+            try:
+                return await target.instance.answer_peer(message)
+            except RequestError as error:
+                return ErrorReply.from_error(error)
+
+        try:
+            async with asyncio.timeout(seconds):
+                reply = await self.cross(host, address, step, answer, seconds)
+        except TimeoutError as error:
+            raise PeerUnreachableError(address) from error
+        if isinstance(reply, ErrorReply):
+            raise reply.to_error()
+        return reply
+
+    # -- workers ----------------------------------------------------------------------
+
+    async def reach_worker(
+        self, host: Host, worker: FakeWorker, step: str, effect: Callable[[], Any], seconds: float
+    ) -> Any:
+        async def guarded() -> Any:
+            while self.now() < worker.hung_until:
+                await asyncio.sleep(worker.hung_until - self.now())
+            return effect()
+
+        try:
+            async with asyncio.timeout(seconds):
+                return await self.cross(host, worker.name, step, guarded, seconds)
+        except TimeoutError as error:
+            raise UpstreamLostError(f"{worker.name}: silent", crashed=False) from error
+
+
+def sorted_workers(world: World) -> list[FakeWorker]:
+    return [world.workers[name] for name in sorted(world.workers)]
+
+
+def refuse_leaving(worker: FakeWorker) -> None:
+    if worker.leaving:
+        raise UpstreamRefusedError(f"{worker.name}: leaving", leaving=True)
