--- /dev/null
+++ b/tests/promises/test_promises.py
@@ -0,0 +1,232 @@
+"""For each promise: with its mechanism off the checker goes red, with it on it passes."""
+
+import asyncio
+import random
+
+import pytest
+from attrs import evolve
+
+from egretford.controllers import gateway, instance, janitor, owner
+from egretford.controllers.configuration import TablesMessage
+from egretford.errors import Verdict
+from egretford.filters.chain import CallJob
+from egretford.filters.claims import ClaimFilter
+from egretford.models import CallKind, CallRequest, Durability
+from egretford.policy.budget import Account
+from egretford.policy.configuration import Configuration
+from egretford.policy.placement import WorkerState
+from egretford.policy.program import Program, Start, WaitForPredecessor
+from tests.faults import scenario
+from tests.faults.caller import Caller, Ledger
+from tests.faults.checks import find_violations
+from tests.faults.scenario import BUDGET, build_tables, run_scenario, start_host, write_tables
+from tests.faults.virtual import run_virtual
+from tests.faults.world import FakeWorker, Trigger, World
+
+
+def prove(monkeypatch, run, target, name, replacement):
+    """Run with the mechanism replaced, then as it is; return both lists of violations."""
+    with monkeypatch.context() as patch:
+        patch.setattr(target, name, replacement)
+        without = run()
+    return without, run()
+
+
+def run_with(*triggers, variant="serve", seed=1):
+    return find_violations(run_scenario(seed, [evolve(t) for t in triggers], variant))
+
+
+async def open_world():
+    world = World(random.Random(1))
+    tables = build_tables()
+    for pool in tables.pools:
+        for worker in pool.workers:
+            world.workers[worker.name] = FakeWorker(worker.name)
+    write_tables(world, tables)
+    for index in range(2):
+        await start_host(world, index)
+    await asyncio.sleep(2.0)
+    return world
+
+
+def test_calls_run_in_the_order_they_were_made(monkeypatch):
+    async def send_second_call_first():
+        world = await open_world()
+        caller = Caller(world, Ledger())
+        program = await caller.open(BUDGET)
+        second = asyncio.ensure_future(_send_second_call(caller, program.id))
+        await asyncio.sleep(0.5)
+        await asyncio.gather(program.call(CallKind.MODEL, "first"), second, return_exceptions=True)
+        texts = [text for _, text in world.dispatches]
+        return [] if texts == ["first", "second"] else [f"ran as {texts}"]
+
+    def start_at_once(self, request, now):
+        decision = decide(self, request, now)
+        return Start() if isinstance(decision, WaitForPredecessor) else decision
+
+    decide = Program.decide_call
+    without, with_it = prove(
+        monkeypatch,
+        lambda: run_virtual(send_second_call_first()),
+        Program,
+        "decide_call",
+        start_at_once,
+    )
+    assert without
+    assert not with_it
+
+
+async def _send_second_call(caller, program):
+    request = CallRequest(2, CallKind.MODEL, [{"role": "user", "content": "second"}], 4)
+
+    async def make(entry):
+        return [progress async for progress in entry.run_call(program, request)]
+
+    return await caller._send(make)
+
+
+def test_history_is_not_lost(monkeypatch):
+    async def answer_before_it_is_durable(self, records):
+        for record in records:
+            self.table.apply(record)
+        return Durability.STORE
+
+    without, with_it = prove(
+        monkeypatch,
+        lambda: run_with(variant="takeover"),
+        owner.Owner,
+        "_settle_records",
+        answer_before_it_is_durable,
+    )
+    assert any("lost" in violation for violation in without)
+    assert not with_it
+
+
+def test_budget_is_not_overspent(monkeypatch):
+    tight = evolve(BUDGET, tokens=60)
+    monkeypatch.setattr(scenario, "BUDGET", tight)
+    monkeypatch.setattr("tests.faults.checks.BUDGET", tight)
+    without, with_it = prove(
+        monkeypatch, run_with, Account, "find_exhausted", lambda self, tokens, calls: None
+    )
+    assert any("spent" in violation for violation in without)
+    assert not with_it
+
+
+def test_no_memory_stays_held(monkeypatch):
+    async def skip(self, program):
+        return None
+
+    without, with_it = prove(monkeypatch, run_with, janitor.JanitorController, "_release", skip)
+    assert any("still holds" in violation for violation in without)
+    assert not with_it
+
+
+def test_answers_are_whole_when_owners_change(monkeypatch):
+    lost_step = Trigger("forward.step", "after", "silent", nth=3)
+    killed_owner = Trigger("settle.append", "after", "kill")
+    without, with_it = prove(
+        monkeypatch,
+        lambda: run_with(lost_step, killed_owner),
+        gateway,
+        "_complete_text",
+        lambda request, received, progress: progress,
+    )
+    assert any("streamed text" in violation for violation in without)
+    assert not with_it
+
+
+def test_not_run_means_not_run(monkeypatch):
+    lost_reply = Trigger("dispatch.tool", "after", "silent", nth=3)
+    without, with_it = prove(
+        monkeypatch,
+        lambda: run_with(lost_reply),
+        CallJob,
+        "verdict",
+        property(lambda self: Verdict.NOT_RUN),
+    )
+    assert any("told not_run" in violation for violation in without)
+    assert not with_it
+
+
+def test_non_repeatable_calls_run_at_most_once(monkeypatch):
+    async def dispatch_unclaimed(self, job, proceed):
+        return await proceed(job)
+
+    kills = [Trigger("dispatch.tool", "after", "kill", nth=n) for n in (3, 4, 5)]
+
+    def run():
+        return [violation for kill in kills for violation in run_with(kill)]
+
+    without, with_it = prove(monkeypatch, run, ClaimFilter, "handle", dispatch_unclaimed)
+    assert any("took effect 2 times" in violation for violation in without)
+    assert not with_it
+
+
+def test_leaving_upstream_gets_no_new_work(monkeypatch):
+    monkeypatch.setattr(scenario, "use_program", _use_engine_for_a_while)
+    leaving = Trigger("dispatch.model", "after", "worker_leaving")
+    without, with_it = prove(
+        monkeypatch,
+        lambda: run_with(leaving),
+        WorkerState,
+        "is_usable",
+        lambda self, now: True,
+    )
+    assert any("began to leave" in violation for violation in without)
+    assert not with_it
+
+
+async def _use_engine_for_a_while(caller):
+    for turn in range(10):
+        program = await caller.open(BUDGET)
+        await program.call(CallKind.MODEL, f"turn {turn}")
+        await program.end()
+        await asyncio.sleep(1.0)
+
+
+def test_graceful_shutdown_cuts_off_nothing(monkeypatch):
+    async def leave_at_once(self, is_quiet):
+        self.draining = True
+
+    without, with_it = prove(
+        monkeypatch,
+        lambda: run_with(variant="rolling"),
+        instance.Instance,
+        "drain",
+        leave_at_once,
+    )
+    assert any("graceful shutdown" in violation for violation in without)
+    assert not with_it
+
+
+@pytest.mark.parametrize("mechanism", ["on", "off"])
+def test_configuration_never_reverts(monkeypatch, mechanism):
+    def apply_any(self, revision, raw):
+        self.revision = revision
+        return True
+
+    if mechanism == "off":
+        monkeypatch.setattr(Configuration, "offer", apply_any)
+        monkeypatch.setattr(
+            "egretford.controllers.configuration.ConfigurationController.offer", _offer_unguarded
+        )
+
+    async def relay_an_old_revision():
+        world = await open_world()
+        host = next(iter(world.hosts.values()))
+        old = host.instance.configuration.export()
+        write_tables(world, build_tables())
+        await world.store.notify()
+        await asyncio.sleep(3.0)
+        host.instance.configuration.offer(TablesMessage(old.revision, old.raw))
+        return host.revisions
+
+    revisions = run_virtual(relay_an_old_revision())
+    assert (revisions == sorted(revisions)) is (mechanism == "on")
+
+
+def _offer_unguarded(self, message):
+    self.current.offer(message.revision, {})
+    for listener in self._listeners:
+        listener()
