--- a/egretford/api/bodies.py
+++ b/egretford/api/bodies.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from typing import Any, TypeVar
 
 import orjson
-from blacksheep import Content, Request, Response
+from blacksheep import Content, Request, Response, StreamedContent
 
 from egretford.codec import explain_error, from_json, to_json
 from egretford.errors import HTTP_STATUS, ErrorKind, RequestError
@@ -13,6 +14,7 @@
 T = TypeVar("T")
 
 JSON_TYPE = b"application/json"
+SSE_TYPE = b"text/event-stream"
 
 
 async def read_body(request: Request, limit: int) -> Any:
@@ -66,6 +68,16 @@
     return response
 
 
+def stream_events(events: AsyncIterator[bytes]) -> Response:
+    """Build a response of server-sent events."""
+
+    async def write() -> AsyncIterator[bytes]:
+        async for event in events:
+            yield event
+
+    return Response(200, content=StreamedContent(SSE_TYPE, write))
+
+
 def write_event(name: str, body: Any) -> bytes:
     """Build one server-sent event."""
     return b"event: " + name.encode() + b"\ndata: " + orjson.dumps(to_json(body)) + b"\n\n"
--- a/egretford/api/chat.py
+++ b/egretford/api/chat.py
@@ -6,18 +6,19 @@
 from typing import Any
 
 from attrs import field, frozen, validators
-from blacksheep import Request, Response, StreamedContent
+from blacksheep import Request, Response
 
 from egretford.api.bodies import (
     describe_error,
     parse_body,
     read_body,
     read_header,
+    stream_events,
     write_data,
     write_error,
     write_json,
 )
-from egretford.api.programs import SSE_TYPE, ProgramRoutes, in_doubt
+from egretford.api.programs import ProgramRoutes, in_doubt
 from egretford.controllers.configuration import ConfigurationController
 from egretford.controllers.gateway import Gateway
 from egretford.controllers.runs import CallProgress
@@ -101,9 +102,7 @@
                 return write_error(in_doubt(outcome))
             return write_json(200, _write_completion(body, outcome))
         first = await anext(progress)
-        return Response(
-            200, content=StreamedContent(SSE_TYPE, lambda: _write_chunks(body, first, progress))
-        )
+        return stream_events(_write_chunks(body, first, progress))
 
     async def _follow(
         self, program: str, call: CallRequest, one_call: bool
--- a/egretford/api/programs.py
+++ b/egretford/api/programs.py
@@ -4,13 +4,14 @@
 
 from collections.abc import AsyncIterator
 
-from blacksheep import Request, Response, StreamedContent
+from blacksheep import Request, Response
 
 from egretford.api.bodies import (
     describe_error,
     parse_body,
     read_body,
     read_header,
+    stream_events,
     write_error,
     write_event,
     write_json,
@@ -22,8 +23,6 @@
 from egretford.metrics import Metrics
 from egretford.models import CallOutcome, CallRequest, OpenRequest
 
-SSE_TYPE = b"text/event-stream"
-
 
 class ProgramRoutes:
     """Handlers of /v1/programs."""
@@ -68,9 +67,7 @@
                 outcome = step.outcome
             return _write_outcome(outcome)
         first = await anext(progress)
-        return Response(
-            200, content=StreamedContent(SSE_TYPE, lambda: _write_events(first, progress))
-        )
+        return stream_events(_write_events(first, progress))
 
     async def follow(
         self, program: str, body: CallRequest, *, whole_history: bool = False
--- a/egretford/cli/caller.py
+++ b/egretford/cli/caller.py
@@ -43,6 +43,7 @@
 
     def __init__(self, session: aiohttp.ClientSession, entries: list[str]) -> None:
         self._session = session
+        self.cut_off: list[str] = []
         self._entries = entries
         self._turn = 0
 
@@ -70,7 +71,10 @@
                 if failure.kind not in MAY_RESEND:
                     raise
                 last = failure
+            except aiohttp.ClientConnectorError as error:
+                last = ProgramFailedError(repr(error), "unreachable", "not_run", is_honest=False)
             except _NETWORK_ERRORS as error:
+                self.cut_off.append(f"{method} {path}: {error!r}")
                 last = ProgramFailedError(
                     repr(error), "unreachable", "may_have_run", is_honest=False
                 )
--- a/egretford/cli/load.py
+++ b/egretford/cli/load.py
@@ -35,6 +35,7 @@
     faults: list[str] = Factory(list)
     expected_effects: set[str] = Factory(set)
     refused_effects: set[str] = Factory(set)
+    cut_off: list[str] = Factory(list)
 
 
 @frozen
@@ -53,6 +54,7 @@
     doubled_effects: list[str]
     lost_effects: list[str]
     false_not_run: list[str]
+    cut_off: list[str]
     faults: list[str]
     seconds: float
 
@@ -134,6 +136,8 @@
         _note_failure(tally, template, failure)
         if program is not None:
             await program.abandon()
+    finally:
+        tally.cut_off.extend(caller.cut_off)
 
 
 def _note_failure(tally: Tally, template: Template, failure: ProgramFailedError) -> None:
@@ -236,6 +240,7 @@
         doubled_effects=sorted(key for key, count in effects.items() if count > 1),
         lost_effects=sorted(tally.expected_effects - set(effects)) if checked else [],
         false_not_run=sorted(tally.refused_effects & set(effects)),
+        cut_off=tally.cut_off,
         faults=tally.faults,
         seconds=round(seconds, 3),
     )
--- a/egretford/models.py
+++ b/egretford/models.py
@@ -108,7 +108,7 @@
     def _check_messages(self, _: Any, value: list[Message]) -> None:
         for message in value:
             if not isinstance(message.get("role"), str):
-                raise ValueError("each message needs a 'role' of type str")
+                raise ValueError("'messages' must each have a 'role' of type str")
 
     @property
     def is_repeatable(self) -> bool:
--- a/egretford/standin/engine.py
+++ b/egretford/standin/engine.py
@@ -11,8 +11,9 @@
 
 import orjson
 from attrs import Factory, define, frozen
-from blacksheep import Application, Request, Response, StreamedContent
+from blacksheep import Application, Request, Response
 
+from egretford.api.bodies import stream_events
 from egretford.api.routing import add_route
 from egretford.codec import explain_error, from_json
 from egretford.standin.batching import BatchModel, EngineProfile, EngineRequest
@@ -67,6 +68,16 @@
     """Ends a response without its last chunk, as a crash would."""
 
 
+def break_connection() -> Response:
+    """Answer with a stream that breaks at once, as a crash does to open connections."""
+
+    async def write() -> AsyncIterator[bytes]:
+        raise StreamBrokenError("broken on purpose")
+        yield b""
+
+    return stream_events(write())
+
+
 class EngineStandin:
     """Routes and the loop of the stand-in engine."""
 
@@ -162,7 +173,7 @@
             return reply_json(400, {"error": explain_error(error)})
         if any(CRASH_MARK in str(message.get("content")) for message in body.messages):
             self._crash()
-            raise StreamBrokenError("crashed")
+            return break_connection()
         stream = self._submit(body)
         if body.stream:
             return self._stream_response(stream, body.skip_tokens)
@@ -190,11 +201,7 @@
         return stream
 
     def _stream_response(self, stream: LiveStream, first: int) -> Response:
-        async def write() -> AsyncIterator[bytes]:
-            async for line in self._write_events(stream, first):
-                yield line
-
-        return Response(200, content=StreamedContent(b"text/event-stream", write))
+        return stream_events(self._write_events(stream, first))
 
     async def _write_events(self, stream: LiveStream, first: int) -> AsyncIterator[bytes]:
         index = first
--- a/egretford/standin/service.py
+++ b/egretford/standin/service.py
@@ -12,10 +12,11 @@
 
 from egretford.api.routing import add_route
 from egretford.codec import explain_error, from_json
-from egretford.standin.engine import StreamBrokenError
+from egretford.standin.engine import break_connection
 from egretford.standin.platform import reply_json
 
 HANG_SECONDS = 3_600.0
+SLOW_REPLY_SECONDS = 4.0
 LOAD_LAG_SECONDS = 0.5
 
 
@@ -31,9 +32,11 @@
 
 @frozen
 class ServiceFault:
-    """The next `count` calls hang, lose their reply after the effect, or are refused."""
+    """What the next `count` calls do: hang before the effect, or reply late or never after
+    it, or be refused.
+    """
 
-    kind: str = field(validator=validators.in_(("hang", "lost_reply", "refuse")))
+    kind: str = field(validator=validators.in_(("hang", "slow_reply", "lost_reply", "refuse")))
     count: int = field(default=1, validator=validators.ge(0))
 
 
@@ -92,8 +95,10 @@
         await asyncio.sleep(self.seconds_per_call)
         key = f"{body.program}/{body.call}"
         count = 0 if body.repeatable else self.ledger.add(key)
+        if self._take_fault("slow_reply"):
+            await asyncio.sleep(SLOW_REPLY_SECONDS)
         if self._take_fault("lost_reply"):
-            raise StreamBrokenError("the reply is lost on purpose")
+            return break_connection()
         request = body.messages[-1].get("content") if body.messages else None
         return reply_json(200, {"result": {"done": request, "key": key, "effects": count}})
 
--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -79,7 +79,7 @@
     pools = [_start_pool(state, pool, ports, started) for pool in tables.pools]
     placed = state / "tables.json"
     placed.write_text(json.dumps(to_json(Tables(tables.routes, pools)), indent=2))
-    _wait_ready(started["platform"], "/healthz")
+    wait_ready(started["platform"], "/healthz")
     _apply(placed, started["platform"]["url"])
     for index in range(entries):
         started["entries"].append(
@@ -87,9 +87,9 @@
         )
     for group in ("engines", "services"):
         for item in started[group]:
-            _wait_ready(item, "/healthz")
+            wait_ready(item, "/healthz")
     for item in started["entries"]:
-        _wait_ready(item, "/readyz")
+        wait_ready(item, "/readyz")
 
 
 def _start_pool(state: Path, pool: Pool, ports: Any, started: dict[str, Any]) -> Pool:
@@ -127,11 +127,16 @@
     )
     path = state / f"{name}.json"
     path.write_text(json.dumps(settings, indent=2))
-    pid = _spawn(state, name, ["entry", "--settings", str(path)])
     url = f"http://{HOST}:{http}"
+    pid = spawn_entry(state, path)
     return {"pid": pid, "url": url, "failure_domain": domain, "settings": str(path)}
 
 
+def spawn_entry(state: Path, settings: Path) -> int:
+    """Start an entry from its settings file; returns its process id."""
+    return _spawn(state, settings.stem, ["entry", "--settings", str(settings)])
+
+
 def _spawn(state: Path, name: str, arguments: list[str]) -> int:
     command = [sys.executable, "-m", "egretford.cli.main", *arguments]
     with (state / f"{name}.log").open("ab") as log:
@@ -146,7 +151,8 @@
     subprocess.run([*command, "--platform", platform], check=True, stdout=subprocess.DEVNULL)
 
 
-def _wait_ready(item: dict[str, Any], path: str) -> None:
+def wait_ready(item: dict[str, Any], path: str) -> None:
+    """Wait until a process answers a path; ends the script if it does not."""
     url = item["url"] + path
     deadline = time.monotonic() + READY_SECONDS
     while time.monotonic() < deadline and _is_ours(item["pid"]):
@@ -168,12 +174,13 @@
     groups = [started["entries"], started["engines"] + started["services"]]
     groups.append([started["platform"]] if started["platform"] else [])
     for group in groups:
-        _end_processes([item["pid"] for item in group])
+        end_processes([item["pid"] for item in group])
     path.unlink()
     return 0
 
 
-def _end_processes(pids: list[int]) -> None:
+def end_processes(pids: list[int]) -> None:
+    """Ask processes of this project to leave, and kill them if they do not."""
     mine = [pid for pid in pids if _is_ours(pid)]
     for pid in mine:
         _send(pid, signal.SIGCONT)
--- a/tests/faults/caller.py
+++ b/tests/faults/caller.py
@@ -73,7 +73,7 @@
         await asyncio.wait([task, death], timeout=seconds, return_when="FIRST_COMPLETED")
         host.inflight -= 1
         death.cancel()
-        if host.is_dead and host.instance.draining:
+        if host.left:
             self.ledger.wrong.append(f"{host.name} cut off a request at its graceful shutdown")
         if not task.done() or host.is_dead or self.world.now() < host.frozen_until:
             task.cancel()
--- a/tests/faults/scenario.py
+++ b/tests/faults/scenario.py
@@ -153,6 +153,7 @@
         while not leaving.inflight:  # noqa: ASYNC110 - requests come and go
             await asyncio.sleep(0.01)
         await leaving.instance.drain(lambda: not leaving.inflight)
+        leaving.left = not leaving.is_dead
         leaving.dead.set()
 
 
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -69,6 +69,7 @@
     frozen_until: float = 0.0
     listening: bool = False
     inflight: int = 0
+    left: bool = False
     revisions: list[int] = Factory(list)
 
     @property
