Count a prefill's delay to the whole batch in placement

Cause: placement charged a cold start only to the call itself; the prefill stalls every call in the batch, so moves were too cheap. Change: uncached tokens cost (cache_weight + running) / prefill rate.

--- a/egretford/policy/placement.py
+++ b/egretford/policy/placement.py
@@ -90,7 +90,9 @@
         """Return the expected cost of a call on a worker, in seconds, behind `ahead` others."""
         cost = self._estimate_wait(state, ahead)
         uncached = request.prompt_tokens - self._count_cached(state, request)
-        cost += request.cache_weight * uncached / PREFILL_TOKENS_PER_SECOND
+        # A prefill holds up every call in the worker's batch.
+        delayed = request.cache_weight + min(state.running, state.slots)
+        cost += delayed * uncached / PREFILL_TOKENS_PER_SECOND
         if self.region_of(state.worker) != request.region:
             cost += self._estimate_transfer(request.prompt_tokens)
         return cost
