Charge a cold start with the cache it would push out

Cause: programs were placed by running calls alone; the caches of paused programs overflowed on some workers. Change: workers know the tokens that programs hold there; a cold start pays for overflow.

--- a/egretford/bench/policies.py
+++ b/egretford/bench/policies.py
@@ -12,6 +12,7 @@
 from egretford.policy.placement import Placement, WorkerState
 from egretford.policy.queue import Waiting
 from egretford.policy.shard import Expired, Grant, Shard
+from egretford.standin.batching import EngineProfile
 
 
 class Policy(Protocol):
@@ -29,6 +30,9 @@
     def report(self, worker: str, in_worker: int, leaving: bool, now: float) -> None:
         """Take a lagging load report."""
 
+    def note_cached(self, program: str, worker: str, tokens: int) -> None:
+        """Learn from usage where a program's cache is; nowhere when `tokens` is 0."""
+
 
 @define
 class ShardPolicy:
@@ -38,10 +42,19 @@
     bound: int = 1_000
 
     @staticmethod
-    def build(workers: list[Worker], slots: int, regions: dict[str, str]) -> ShardPolicy:
+    def build(
+        workers: list[Worker], profile: EngineProfile, regions: dict[str, str]
+    ) -> ShardPolicy:
         """Build a shard over one pool."""
         shard = Shard(Placement(regions))
-        shard.set_pool(Pool("pool", PoolKind.ENGINE, workers, slots=slots))
+        pool = Pool(
+            "pool",
+            PoolKind.ENGINE,
+            workers,
+            slots=profile.slots,
+            cache_tokens=profile.cache_tokens,
+        )
+        shard.set_pool(pool)
         return ShardPolicy(shard)
 
     def submit(self, call: Waiting, now: float) -> bool:
@@ -60,6 +73,13 @@
         """Take a report; there are no others' calls here."""
         self.shard.note_load(worker, 0, leaving, 0)
 
+    def note_cached(self, program: str, worker: str, tokens: int) -> None:
+        """Learn where a program's cache is."""
+        if tokens:
+            self.shard.note_cached(program, worker, tokens)
+        else:
+            self.shard.forget_program(program)
+
 
 @define
 class Immediate:
@@ -104,6 +124,9 @@
         self.reported[worker] = in_worker
         self.workers[worker].leaving = leaving
 
+    def note_cached(self, program: str, worker: str, tokens: int) -> None:
+        """Baselines do not look at caches."""
+
 
 @define
 class RoundRobin(Immediate):
@@ -170,8 +193,10 @@
 }
 
 
-def build_policy(name: str, workers: list[Worker], slots: int, regions: dict[str, str]) -> Policy:
+def build_policy(
+    name: str, workers: list[Worker], profile: EngineProfile, regions: dict[str, str]
+) -> Policy:
     """Build a policy by name; `shard` is the real one."""
     if name == "shard":
-        return ShardPolicy.build(workers, slots, regions)
-    return BASELINES[name]({w.name: WorkerState(w, slots) for w in workers})
+        return ShardPolicy.build(workers, profile, regions)
+    return BASELINES[name]({w.name: WorkerState(w, profile.slots) for w in workers})
--- a/egretford/bench/simulation.py
+++ b/egretford/bench/simulation.py
@@ -164,6 +164,9 @@
 
     def _forget(self, name: str) -> None:
         self.attained.pop(name, None)
+        for agent in [known for known in self.warm if known.split(".")[0] == name]:
+            del self.warm[agent]
+            self.policy.note_cached(agent, "", 0)
         for engine in self.engines.values():
             engine.cache.release(name)
 
@@ -193,6 +196,7 @@
     def _describe(self, agent: Agent, ticket: str) -> Waiting:
         worker, tokens = self.warm.get(agent.name, ("", 0))
         placement = PlacementRequest(
+            program=agent.name,
             prompt_tokens=sum(block.tokens for block in agent.blocks),
             cached={worker: tokens} if worker else {},
             region=agent.program.region,
@@ -296,6 +300,7 @@
         agent.blocks = request.final_blocks()
         tokens = request.prompt_tokens + request.length
         self.warm[agent.name] = (running.worker, tokens)
+        self.policy.note_cached(agent.name, running.worker, tokens)
         agent.turn += 1
         self._run_agents(agent, turn)
 
@@ -367,7 +372,7 @@
         if not hasattr(former, "shard"):
             return
         fresh = build_policy(
-            "shard", self.deployment.list_workers(), self.profile.slots, self.deployment.regions
+            "shard", self.deployment.list_workers(), self.profile, self.deployment.regions
         )
         fresh.shard.grants = dict(former.shard.grants)
         for grant in fresh.shard.grants.values():
@@ -419,7 +424,7 @@
         draw_programs(rng, scenario.shape, scenario.load, len(workers), scenario.seconds, regions)
     )
     profile = EngineProfile()
-    policy = build_policy(scenario.policy, workers, profile.slots, deployment.regions)
+    policy = build_policy(scenario.policy, workers, profile, deployment.regions)
     simulation = Simulation(policy, deployment, rng, profile)
     simulation.run(programs, scenario.fault, scenario.seconds)
     return _summarise(scenario, simulation, programs)
--- a/egretford/controllers/scheduling.py
+++ b/egretford/controllers/scheduling.py
@@ -124,6 +124,7 @@
         warm = self._warm.get(program.id)
         model = job.request.kind is CallKind.MODEL
         placement = PlacementRequest(
+            program=program.id,
             prompt_tokens=job.prompt_bound // 4 if model else 0,
             cached={warm.worker: warm.tokens} if warm and model else {},
             region=self._context.settings.region,
@@ -168,12 +169,15 @@
         if completed is not None and completed.usage.prompt:
             tokens = completed.usage.prompt + completed.usage.completion
             self._warm[job.program.id] = Warm(completed.worker, tokens)
+            shard.note_cached(job.program.id, completed.worker, tokens)
         self._dispatch(job.pool.name)
 
     def forget_program(self, program: str) -> None:
         """Drop what is remembered of an ended program."""
         self._warm.pop(program, None)
         self._attained.pop(program, None)
+        for shard in self.shards.values():
+            shard.forget_program(program)
 
     async def _dispatch_all(self) -> None:
         for name in list(self.shards):
--- a/egretford/models.py
+++ b/egretford/models.py
@@ -195,13 +195,14 @@
 
 @frozen
 class Pool:
-    """A row of the pools table."""
+    """A row of the pools table; `cache_tokens` is a worker's cache, 0 if not known."""
 
     name: str = field(validator=_name)
     kind: PoolKind
     workers: list[Worker] = field()
     slots: int = field(default=8, validator=[validators.ge(1), validators.le(4_096)])
     fencing: Fencing = Fencing.IGNORED
+    cache_tokens: int = field(default=0, validator=_count)
     model: str | None = None
     adapter: str | None = None
 
--- a/egretford/policy/placement.py
+++ b/egretford/policy/placement.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from attrs import define, field, frozen
+from attrs import Factory, define, frozen
 
 from egretford.models import Worker
 
@@ -27,7 +27,9 @@
     service_seconds: float = FIRST_SERVICE_SECONDS
     leaving: bool = False
     avoid_until: float = 0.0
-    grants_since_report: int = field(default=0)
+    cache_tokens: int = 0
+    held: dict[str, int] = Factory(dict)
+    held_tokens: int = 0
 
     @property
     def running(self) -> int:
@@ -51,6 +53,19 @@
         """Learn from a finished call."""
         self.service_seconds += SERVICE_SMOOTHING * (seconds - self.service_seconds)
 
+    def note_held(self, program: str, tokens: int) -> None:
+        """Note how much cache a program has here; zero when it has none any more."""
+        self.held_tokens += tokens - self.held.pop(program, 0)
+        if tokens:
+            self.held[program] = tokens
+
+    def measure_overflow(self, program: str, tokens: int) -> int:
+        """Return how many tokens of others a program of `tokens` would push out."""
+        if not self.cache_tokens or program in self.held:
+            return 0
+        wanted = self.held_tokens + tokens
+        return min(tokens, max(0, wanted - self.cache_tokens))
+
     def avoid(self, now: float) -> None:
         """Send nothing here for a while after a failure."""
         self.avoid_until = now + AVOID_SECONDS
@@ -68,6 +83,7 @@
 class PlacementRequest:
     """What placement needs to know of a call; `cached` maps worker names to tokens."""
 
+    program: str
     prompt_tokens: int
     cached: Mapping[str, int]
     region: str
@@ -92,7 +108,8 @@
         uncached = request.prompt_tokens - self._count_cached(state, request)
         # A prefill holds up every call in the worker's batch.
         delayed = request.cache_weight + min(state.running, state.slots)
-        cost += delayed * uncached / PREFILL_TOKENS_PER_SECOND
+        evicted = state.measure_overflow(request.program, request.prompt_tokens)
+        cost += delayed * (uncached + evicted) / PREFILL_TOKENS_PER_SECOND
         if self.region_of(state.worker) != request.region:
             cost += self._estimate_transfer(request.prompt_tokens)
         return cost
--- a/egretford/policy/shard.py
+++ b/egretford/policy/shard.py
@@ -46,6 +46,7 @@
     homeless: CallQueue = Factory(CallQueue)
     tickets: dict[str, str] = Factory(dict)
     grants: dict[str, Grant] = Factory(dict)
+    places: dict[str, str] = Factory(dict)
 
     def __len__(self) -> int:
         return len(self.tickets)
@@ -57,6 +58,7 @@
         for worker in pool.workers:
             state = known.get(worker.name) or WorkerState(worker, pool.slots)
             state.worker, state.slots = worker, pool.slots
+            state.cache_tokens = pool.cache_tokens
             self.workers[worker.name] = state
             self.queues[worker.name] = queues.pop(worker.name, None) or CallQueue()
         for orphaned in queues.values():
@@ -176,6 +178,20 @@
         else:
             state.note_service(now - grant.granted_at)
 
+    def note_cached(self, program: str, worker: str, tokens: int) -> None:
+        """Note that a program's cache is now at one worker."""
+        self.forget_program(program)
+        state = self.workers.get(worker)
+        if state is not None:
+            state.note_held(program, tokens)
+            self.places[program] = worker
+
+    def forget_program(self, program: str) -> None:
+        """Note that a program holds no cache any more."""
+        state = self.workers.get(self.places.pop(program, ""))
+        if state is not None:
+            state.note_held(program, 0)
+
     def note_load(self, worker: str, in_worker: int, leaving: bool, granted_then: int) -> None:
         """Take a lagging load report."""
         state = self.workers.get(worker)
