Order calls by their program's age plus its service, and refuse hopeless calls early

Cause: least attained service with call arrival favoured young programs; under overload old ones were starved of their cache and of their finish. Conclusion: age plus service kept, since service still makes an endless loop fall behind.

--- a/egretford/bench/simulation.py
+++ b/egretford/bench/simulation.py
@@ -10,7 +10,14 @@
 from attrs import Factory, define, frozen
 
 from egretford.bench.policies import Policy, build_policy
-from egretford.bench.programs import SYSTEM_TOKENS, BenchProgram, Shape, Turn, draw_programs
+from egretford.bench.programs import (
+    SYSTEM_TOKENS,
+    BenchProgram,
+    Shape,
+    Turn,
+    draw_programs,
+    measure_demand,
+)
 from egretford.models import Urgency, Worker
 from egretford.policy.placement import BYTES_PER_TOKEN, PlacementRequest
 from egretford.policy.queue import Waiting
@@ -90,6 +97,7 @@
     """What a run measured."""
 
     wasted_tokens: int = 0
+    moved_tokens: int = 0
     prompt_tokens: int = 0
     link_bytes: int = 0
     refused: int = 0
@@ -294,7 +302,7 @@
         running = self.running.pop(request.request_id)
         agent, turn = running.agent, running.turn
         self.policy.finish(request.request_id, self.now)
-        self._count(agent, request)
+        self._count(agent, request, running.worker)
         tree = agent.program.name
         self.attained[tree] = self.attained.get(tree, 0.0) + self.now - running.started
         agent.blocks = request.final_blocks()
@@ -304,13 +312,16 @@
         agent.turn += 1
         self._run_agents(agent, turn)
 
-    def _count(self, agent: Agent, request: BenchRequest) -> None:
+    def _count(self, agent: Agent, request: BenchRequest, worker: str) -> None:
         totals = self.totals
         totals.calls += 1
         totals.prompt_tokens += request.prompt_tokens
         totals.completion_tokens += request.length
         reusable = request.prompt_tokens - agent.turns[agent.turn].prompt_tokens
-        totals.wasted_tokens += max(0, reusable - request.cached)
+        wasted = max(0, reusable - request.cached)
+        totals.wasted_tokens += wasted
+        if self.warm.get(agent.name, ("",))[0] not in ("", worker):
+            totals.moved_tokens += wasted
 
     def _run_agents(self, agent: Agent, turn: Turn) -> None:
         if not turn.agents:
@@ -408,6 +419,7 @@
     refused: int
     late_refusals: int
     wasted_tokens: int
+    moved_tokens: int
     prompt_tokens: int
     link_bytes: int
     goodput: float
@@ -435,7 +447,9 @@
     latencies = sorted(p.finished - p.arrives for p in finished)
     urgent = sorted(p.finished - p.arrives for p in finished if p.urgency is Urgency.URGENT)
     totals = simulation.totals
-    in_time = sum(1 for p in finished if p.finished <= scenario.seconds)
+    in_time = [p.turns for p in finished if p.finished <= scenario.seconds]
+    capacity = scenario.seconds * len(scenario.deployment.list_workers())
+    served = sum(measure_demand(turns, EngineProfile()) for turns in in_time)
     return Outcome(
         scenario,
         _percentile(latencies, 50),
@@ -446,9 +460,10 @@
         sum(1 for p in programs if p.refused),
         totals.late_refused,
         totals.wasted_tokens,
+        totals.moved_tokens,
         totals.prompt_tokens,
         totals.link_bytes,
-        in_time / max(1, len(programs)),
+        served / capacity,
         _measure_fairness(finished),
     )
 
--- a/egretford/policy/placement.py
+++ b/egretford/policy/placement.py
@@ -104,7 +104,7 @@
 
     def estimate_cost(self, state: WorkerState, request: PlacementRequest, ahead: int = 0) -> float:
         """Return the expected cost of a call on a worker, in seconds, behind `ahead` others."""
-        cost = self._estimate_wait(state, ahead)
+        cost = self.estimate_wait(state, ahead)
         uncached = request.prompt_tokens - self._count_cached(state, request)
         # A prefill holds up every call in the worker's batch.
         delayed = request.cache_weight + min(state.running, state.slots)
@@ -117,7 +117,8 @@
     def _count_cached(self, state: WorkerState, request: PlacementRequest) -> int:
         return min(request.prompt_tokens, request.cached.get(state.worker.name, 0))
 
-    def _estimate_wait(self, state: WorkerState, ahead: int) -> float:
+    def estimate_wait(self, state: WorkerState, ahead: int) -> float:
+        """Return the expected wait for a slot, in seconds, behind `ahead` others."""
         share = state.running / state.slots
         over = max(0, state.running + ahead - state.slots + 1)
         return state.service_seconds * (CROWDING_SHARE * share + over / state.slots)
--- a/egretford/policy/queue.py
+++ b/egretford/policy/queue.py
@@ -1,4 +1,8 @@
-"""The order of waiting calls: urgency first, then least attained service, with ageing."""
+"""The order of waiting calls: urgency first, then the age of the program, less its service.
+
+Finishing old programs first keeps few under way, so that their caches fit; adding the
+attained service makes a program that never ends fall behind younger ones.
+"""
 
 from __future__ import annotations
 
@@ -37,11 +41,11 @@
 def order_key(call: Waiting) -> tuple[int, float]:
     """Return the sort key of a call; it does not change while the call waits.
 
-    All waiting calls age alike, so adding the arrival time ages them without any
-    reordering. Urgent calls go before all others.
+    All programs age alike, so ageing needs no reordering. Urgent calls go before all
+    others, batch programs count as opened later than they were.
     """
     handicap = BATCH_HANDICAP_SECONDS if call.urgency is Urgency.BATCH else 0.0
-    return _RANKS[call.urgency], ATTAINED_WEIGHT * call.attained + call.arrived + handicap
+    return _RANKS[call.urgency], call.opened + ATTAINED_WEIGHT * call.attained + handicap
 
 
 @define
--- a/egretford/policy/shard.py
+++ b/egretford/policy/shard.py
@@ -66,12 +66,22 @@
                 self._enqueue(call, None)
 
     def offer(self, call: Waiting, now: float, bound: int = DEFAULT_QUEUE_BOUND) -> bool:
-        """Queue a call where it is expected to cost least; False at the bound."""
+        """Queue a call where it is expected to cost least.
+
+        False at the bound, or when the call would most likely wait past its deadline.
+        """
         if len(self.tickets) >= bound:
             return False
-        self._enqueue(call, self._choose(call, now))
+        state = self._choose(call, now)
+        if state is not None and now + self._estimate_wait(state, call) >= call.deadline:
+            return False
+        self._enqueue(call, state)
         return True
 
+    def _estimate_wait(self, state: WorkerState, call: Waiting) -> float:
+        ahead = 0 if call.urgency is Urgency.URGENT else len(self.queues[state.worker.name])
+        return self.placement.estimate_wait(state, ahead)
+
     def _enqueue(self, call: Waiting, state: WorkerState | None) -> None:
         name = state.worker.name if state else ""
         queue = self.queues[name] if state else self.homeless
