Charge a move for what it leaves behind; make a dispatch look only at changed workers

Change 1: a move costs two more prefills' delay, for the tokens it leaves to push out others. Sub-agents' memory is freed at their end in the bench, for every policy. Cause 2: a dispatch compared every free worker with every queue.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 # The fault matrix; SEED=n runs one cell or pair and prints what broke.
 matrix: .venv
 	@$(BIN)/python -m tests.faults.matrix $(if $(SEED),--seed $(SEED),--write docs/FAULTS.md)
+
+# The policy against its baselines, in modelled time; takes some minutes.
+bench: .venv
+	@$(BIN)/python -m egretford.bench.main --write docs/BENCH.md
--- a/egretford/bench/policies.py
+++ b/egretford/bench/policies.py
@@ -40,6 +40,7 @@
 
     shard: Shard
     bound: int = 1_000
+    recheck: bool = False
 
     @staticmethod
     def build(
@@ -62,8 +63,9 @@
         return self.shard.offer(call, now, self.bound)
 
     def dispatch(self, now: float) -> list[Grant | Expired]:
-        """Grant slots."""
-        return self.shard.dispatch(now)
+        """Grant slots; after a load report, of all workers, as entries do now and then."""
+        everywhere, self.recheck = self.recheck, False
+        return self.shard.dispatch(now, everywhere=everywhere)
 
     def finish(self, ticket: str, now: float, *, failed: bool = False) -> None:
         """Give a slot back."""
@@ -72,6 +74,7 @@
     def report(self, worker: str, in_worker: int, leaving: bool, now: float) -> None:
         """Take a report; there are no others' calls here."""
         self.shard.note_load(worker, 0, leaving, 0)
+        self.recheck = True
 
     def note_cached(self, program: str, worker: str, tokens: int) -> None:
         """Learn where a program's cache is."""
--- a/egretford/bench/programs.py
+++ b/egretford/bench/programs.py
@@ -85,23 +85,30 @@
     )
 
 
-def measure_demand(turns: list[Turn], profile: EngineProfile) -> float:
-    """Return the engine seconds that turns need when nothing is computed twice."""
-    per_token = (profile.step + profile.step_per_request * profile.slots) / profile.slots
-    total = 0.0
-    for turn in turns:
-        total += turn.completion_tokens * per_token
-        total += turn.prompt_tokens / profile.prefill_tokens_per_second
-        total += sum(measure_demand(agent, profile) for agent in turn.agents)
-    return total
+PROFILE = EngineProfile()
+
+
+def measure_call(completion_tokens: int, new_tokens: int) -> float:
+    """Return the engine seconds that a call needs when nothing is computed twice."""
+    batch = PROFILE.slots
+    per_token = (PROFILE.step + PROFILE.step_per_request * batch) / batch
+    return completion_tokens * per_token + new_tokens / PROFILE.prefill_tokens_per_second
+
+
+def measure_demand(turns: list[Turn]) -> float:
+    """Return the engine seconds that turns and their sub-agents need."""
+    return sum(
+        measure_call(turn.completion_tokens, turn.prompt_tokens)
+        + sum(measure_demand(agent) for agent in turn.agents)
+        for turn in turns
+    )
 
 
 def draw_programs(
     rng: random.Random, shape: Shape, load: float, workers: int, seconds: float, regions: list[str]
 ) -> Iterator[BenchProgram]:
     """Draw programs whose demand is `load` of the workers' capacity."""
-    profile = EngineProfile()
-    sample = [measure_demand(_draw_turns(rng, shape, 0), profile) for _ in range(400)]
+    sample = [measure_demand(_draw_turns(rng, shape, 0)) for _ in range(400)]
     rate = load * workers / (sum(sample) / len(sample))
     now = 0.0
     number = 0
--- a/egretford/bench/simulation.py
+++ b/egretford/bench/simulation.py
@@ -5,6 +5,7 @@
 import heapq
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from attrs import Factory, define, frozen
@@ -16,7 +17,7 @@
     Shape,
     Turn,
     draw_programs,
-    measure_demand,
+    measure_call,
 )
 from egretford.models import Urgency, Worker
 from egretford.policy.placement import BYTES_PER_TOKEN, PlacementRequest
@@ -30,6 +31,7 @@
 CALL_SECONDS = 120.0
 RETRY_SECONDS = 1.0
 PROGRAM_SECONDS = 240.0
+WARM_UP_SHARE = 0.3
 
 
 @frozen
@@ -104,6 +106,7 @@
     late_refused: int = 0
     completion_tokens: int = 0
     calls: int = 0
+    served_seconds: float = 0.0
 
 
 @define
@@ -126,6 +129,7 @@
     rng: random.Random
     profile: EngineProfile
     last_report: float = 0.0
+    warm_up: float = 0.0
     now: float = 0.0
     events: list[tuple[float, int, Callable[[], None]]] = Factory(list)
     sequence: int = 0
@@ -155,6 +159,7 @@
         self.at(LOAD_INTERVAL, self._report_loads)
         self.at(horizon / 3, lambda: self._inject(fault))
         self.last_report = horizon + PROGRAM_SECONDS
+        self.warm_up = horizon * WARM_UP_SHARE
         while self.events:
             self.now, _, action = heapq.heappop(self.events)
             action()
@@ -165,16 +170,22 @@
         def done() -> None:
             program.finished = self.now
             self._forget(program.name)
+            self._release(program.name)
 
         system = Block(hash(("system", self.deployment.name)), SYSTEM_TOKENS)
         agent = Agent(program, program.name, program.turns, done, [system])
         self._next_turn(agent)
 
     def _forget(self, name: str) -> None:
+        """Drop what is known of a whole program."""
         self.attained.pop(name, None)
         for agent in [known for known in self.warm if known.split(".")[0] == name]:
-            del self.warm[agent]
-            self.policy.note_cached(agent, "", 0)
+            self._release(agent)
+
+    def _release(self, name: str) -> None:
+        """Free the memory of an ended program or sub-agent."""
+        self.warm.pop(name, None)
+        self.policy.note_cached(name, "", 0)
         for engine in self.engines.values():
             engine.cache.release(name)
 
@@ -252,7 +263,7 @@
             return
         request = BenchRequest(
             request_id=grant.ticket,
-            program=agent.program.name,
+            program=agent.name,
             messages=[],
             max_tokens=turn.completion_tokens,
             blocks=list(agent.blocks),
@@ -317,6 +328,9 @@
         totals.calls += 1
         totals.prompt_tokens += request.prompt_tokens
         totals.completion_tokens += request.length
+        if self.last_report - PROGRAM_SECONDS >= self.now >= self.warm_up:
+            demand = measure_call(request.length, agent.turns[agent.turn].prompt_tokens)
+            totals.served_seconds += demand
         reusable = request.prompt_tokens - agent.turns[agent.turn].prompt_tokens
         wasted = max(0, reusable - request.cached)
         totals.wasted_tokens += wasted
@@ -329,14 +343,15 @@
             return
         agent.waiting_agents = len(turn.agents)
 
-        def one_done() -> None:
+        def one_done(child: str) -> None:
+            self._release(child)
             agent.waiting_agents -= 1
             if agent.waiting_agents == 0:
                 self._next_turn(agent)
 
         for number, turns in enumerate(turn.agents):
             name = f"{agent.name}.{agent.turn}.{number}"
-            child = Agent(agent.program, name, turns, one_done, agent.blocks[:1])
+            child = Agent(agent.program, name, turns, partial(one_done, name), agent.blocks[:1])
             self._next_turn(child)
 
     # -- load and faults ----------------------------------------------------------------
@@ -447,9 +462,8 @@
     latencies = sorted(p.finished - p.arrives for p in finished)
     urgent = sorted(p.finished - p.arrives for p in finished if p.urgency is Urgency.URGENT)
     totals = simulation.totals
-    in_time = [p.turns for p in finished if p.finished <= scenario.seconds]
-    capacity = scenario.seconds * len(scenario.deployment.list_workers())
-    served = sum(measure_demand(turns, EngineProfile()) for turns in in_time)
+    measured_seconds = scenario.seconds * (1 - WARM_UP_SHARE)
+    capacity = measured_seconds * len(scenario.deployment.list_workers())
     return Outcome(
         scenario,
         _percentile(latencies, 50),
@@ -463,7 +477,7 @@
         totals.moved_tokens,
         totals.prompt_tokens,
         totals.link_bytes,
-        served / capacity,
+        totals.served_seconds / capacity,
         _measure_fairness(finished),
     )
 
--- a/egretford/controllers/scheduling.py
+++ b/egretford/controllers/scheduling.py
@@ -181,13 +181,13 @@
 
     async def _dispatch_all(self) -> None:
         for name in list(self.shards):
-            self._dispatch(name)
+            self._dispatch(name, everywhere=True)
 
-    def _dispatch(self, pool: str) -> None:
+    def _dispatch(self, pool: str, *, everywhere: bool = False) -> None:
         shard = self.shards.get(pool)
         if shard is None:
             return
-        for result in shard.dispatch(self._clock.monotonic()):
+        for result in shard.dispatch(self._clock.monotonic(), everywhere=everywhere):
             ticket = self._tickets.get(result.ticket)
             match result:
                 case Grant():
--- a/egretford/policy/placement.py
+++ b/egretford/policy/placement.py
@@ -14,6 +14,7 @@
 SERVICE_SMOOTHING = 0.05
 AVOID_SECONDS = 2.0
 CROWDING_SHARE = 0.1
+MOVE_WEIGHT = 2.0
 
 
 @define
@@ -106,8 +107,11 @@
         """Return the expected cost of a call on a worker, in seconds, behind `ahead` others."""
         cost = self.estimate_wait(state, ahead)
         uncached = request.prompt_tokens - self._count_cached(state, request)
-        # A prefill holds up every call in the worker's batch.
+        # A prefill holds up every call in the worker's batch, and a program that moves
+        # leaves tokens behind that push out others'.
         delayed = request.cache_weight + min(state.running, state.slots)
+        if request.cached and state.worker.name not in request.cached:
+            delayed += MOVE_WEIGHT
         evicted = state.measure_overflow(request.program, request.prompt_tokens)
         cost += delayed * (uncached + evicted) / PREFILL_TOKENS_PER_SECOND
         if self.region_of(state.worker) != request.region:
--- a/egretford/policy/shard.py
+++ b/egretford/policy/shard.py
@@ -47,6 +47,9 @@
     tickets: dict[str, str] = Factory(dict)
     grants: dict[str, Grant] = Factory(dict)
     places: dict[str, str] = Factory(dict)
+    names: list[str] = Factory(list)
+    changed: set[str] = Factory(set)
+    backlogged: set[str] = Factory(set)
 
     def __len__(self) -> int:
         return len(self.tickets)
@@ -54,6 +57,9 @@
     def set_pool(self, pool: Pool) -> None:
         """Take the pool's workers; unknown ones go, known ones keep their state."""
         known, queues = self.workers, self.queues
+        self.names = [worker.name for worker in pool.workers]
+        self.changed = set(self.names)
+        self.backlogged.intersection_update(self.names)
         self.workers, self.queues = {}, {}
         for worker in pool.workers:
             state = known.get(worker.name) or WorkerState(worker, pool.slots)
@@ -87,6 +93,9 @@
         queue = self.queues[name] if state else self.homeless
         queue.push(call)
         self.tickets[call.ticket] = name
+        if state:
+            self.changed.add(name)
+            self.backlogged.add(name)
 
     def _choose(self, call: Waiting, now: float) -> WorkerState | None:
         usable = self._list_candidates(call, now)
@@ -99,11 +108,11 @@
 
     def _list_candidates(self, call: Waiting, now: float) -> list[WorkerState]:
         """Return usable workers; of a large pool a sample, with the warm ones."""
-        states = list(self.workers.values())
-        if len(states) > MAX_COMPARED_WORKERS:
-            warm = [self.workers[n] for n in call.placement.cached if n in self.workers]
-            states = self.rng.sample(states, MAX_COMPARED_WORKERS) + warm
-        return [s for s in states if s.is_usable(now)]
+        names = self.names
+        if len(names) > MAX_COMPARED_WORKERS:
+            names = self.rng.sample(names, MAX_COMPARED_WORKERS)
+            names += [name for name in call.placement.cached if name in self.workers]
+        return [state for state in map(self.workers.__getitem__, names) if state.is_usable(now)]
 
     def _estimate(self, state: WorkerState, request: PlacementRequest, urgent: bool) -> float:
         ahead = 0 if urgent else len(self.queues[state.worker.name])
@@ -120,53 +129,60 @@
         queues = [*self.queues.values(), self.homeless]
         return [call for queue in queues for call in queue]
 
-    def dispatch(self, now: float) -> list[Grant | Expired]:
-        """Grant free slots."""
+    def dispatch(self, now: float, *, everywhere: bool = False) -> list[Grant | Expired]:
+        """Grant free slots of workers that changed, or of all.
+
+        A worker that is usable again by time alone is found only with `everywhere`.
+        """
         results: list[Grant | Expired] = []
-        self._move_stranded(now)
-        free = [s for s in self.workers.values() if s.is_usable(now) and s.has_slot]
+        names = list(self.names) if everywhere else sorted(self.changed)
+        self.changed.clear()
+        if everywhere or len(self.homeless):
+            self._move_stranded(now)
+        states = [self.workers[name] for name in names if name in self.workers]
+        free = [state for state in states if state.is_usable(now) and state.has_slot]
         for state in free:
-            self._fill(state, self.queues[state.worker.name], now, results)
+            self._fill(state, now, results)
         for state in free:
-            while state.has_slot and (queue := self._find_cheaper_here(state)) is not None:
-                self._grant_first(queue, state, now, results)
+            while state.has_slot and (name := self._find_cheaper_here(state)) is not None:
+                self._grant_first(name, state, now, results)
         return results
 
     def _move_stranded(self, now: float) -> None:
         """Give calls another worker when theirs is gone or not usable."""
-        stranded = [self.homeless] if len(self.homeless) else []
-        for name, state in self.workers.items():
-            if len(self.queues[name]) and not state.is_usable(now):
-                stranded.append(self.queues[name])
-        if not any(s.is_usable(now) for s in self.workers.values()):
+        if not any(state.is_usable(now) for state in self.workers.values()):
             return
+        stranded = [self.homeless]
+        for name in sorted(self.backlogged):
+            if not self.workers[name].is_usable(now):
+                stranded.append(self.queues[name])
         for queue in stranded:
             while (call := queue.pop()) is not None:
                 self._enqueue(call, self._choose(call, now))
 
-    def _fill(
-        self, state: WorkerState, queue: CallQueue, now: float, results: list[Grant | Expired]
-    ) -> None:
-        while state.has_slot and len(queue):
-            self._grant_first(queue, state, now, results)
-
-    def _find_cheaper_here(self, state: WorkerState) -> CallQueue | None:
-        """Return another worker's queue whose first call would be better off here."""
-        for name, queue in self.queues.items():
-            call = queue.peek()
-            if call is None or name == state.worker.name:
+    def _fill(self, state: WorkerState, now: float, results: list[Grant | Expired]) -> None:
+        name = state.worker.name
+        while state.has_slot and len(self.queues[name]):
+            self._grant_first(name, state, now, results)
+
+    def _find_cheaper_here(self, state: WorkerState) -> str | None:
+        """Return a worker whose first waiting call would be better off at this one."""
+        for name in sorted(self.backlogged)[:MAX_COMPARED_WORKERS]:
+            call = self.queues[name].peek()
+            if call is None:
+                self.backlogged.discard(name)
                 continue
-            if state.worker.name in call.placement.excluded:
+            if name == state.worker.name or state.worker.name in call.placement.excluded:
                 continue
             there = self._estimate(self.workers[name], call.placement, False)
             if self.placement.estimate_cost(state, call.placement, 0) < there:
-                return queue
+                return name
         return None
 
     def _grant_first(
-        self, queue: CallQueue, state: WorkerState, now: float, results: list[Grant | Expired]
+        self, waits_at: str, state: WorkerState, now: float, results: list[Grant | Expired]
     ) -> None:
-        call = queue.pop()
+        call = self.queues[waits_at].pop()
         self.tickets.pop(call.ticket, None)
         if now >= call.deadline:
             results.append(Expired(call.ticket))
@@ -182,6 +198,7 @@
         if grant is None or grant.worker not in self.workers:
             return
         state = self.workers[grant.worker]
+        self.changed.add(grant.worker)
         state.granted = max(0, state.granted - 1)
         if failed:
             state.avoid(now)
@@ -206,5 +223,6 @@
         """Take a lagging load report."""
         state = self.workers.get(worker)
         if state is not None:
+            self.changed.add(worker)
             state.leaving = leaving
             state.note_report(in_worker, granted_then)
