--- a/egretford/peer/sockets.py
+++ b/egretford/peer/sockets.py
@@ -95,6 +95,11 @@
         self._tasks = TaskGroup()
         self._idle = 0
 
+    @property
+    def address(self) -> str:
+        """The address listened on, with the port that was given for port 0."""
+        return str(self._socket.listeners[0].url)
+
     async def start(self) -> None:
         """Listen."""
         self._socket = pynng.Rep0()
