Give each pool one home a region, with the owner's own decision as fallback

Cause: every entry granted slots of the same workers and knew of the others' grants only by load reports that lag, so eight entries could admit eight times a worker's slots. Change: the live entry of the region that rendezvous hashing names is home of a pool's shard; owners acquire slots there by repeatable steps, give them back, and decide alone for 5 s when the home is silent. Homes drop tickets whose owner stopped asking. Ruled out: one home per failure domain at today's size, since six workers over three domains would be three queues of two.

--- a/egretford/api/status.py
+++ b/egretford/api/status.py
@@ -84,7 +84,7 @@
                     for state in shard.workers.values()
                 },
             }
-            for name, shard in self._instance.scheduling.shards.items()
+            for name, shard in self._instance.scheduling.slots.shards.items()
         ]
 
     async def read_histograms(self, request: Request) -> Response:
--- a/egretford/controllers/instance.py
+++ b/egretford/controllers/instance.py
@@ -20,8 +20,17 @@
     RequestError,
     StoreUnavailableError,
 )
+from egretford.models import Member
 from egretford.peer.interface import Peers
-from egretford.peer.messages import Adopted, AdoptPrograms, Ping, Pong, PullTables
+from egretford.peer.messages import (
+    AcquireSlot,
+    Adopted,
+    AdoptPrograms,
+    FinishSlot,
+    Ping,
+    Pong,
+    PullTables,
+)
 from egretford.platform.objects import Platform
 from egretford.upstream.interface import Upstream
 
@@ -38,7 +47,10 @@
     ) -> None:
         self.configuration = ConfigurationController(context, platform)
         self.crashes = CrashController(context, platform)
-        self.scheduling = SchedulingController(context, platform, upstream, self.configuration)
+        self.scheduling = SchedulingController(
+            context, platform, upstream, peers, self.configuration
+        )
+        self.scheduling.find_home = self._find_home
         self.gateway = Gateway(context, peers)
         self.draining = False
         self._context = context
@@ -59,6 +71,14 @@
             self.scheduling,
         )
 
+    def _find_home(self, pool: str) -> Member | None:
+        """Return the home of a pool when it is another entry."""
+        node = self.gateway.node
+        if node is None:
+            return None
+        home = node.members.membership.find_home(pool, self._context.clock.monotonic())
+        return None if home.incarnation == node.incarnation else home
+
     @property
     def node(self) -> Node:
         """The current incarnation."""
@@ -121,6 +141,8 @@
                 raise RequestError(ErrorKind.NOT_READY, "this entry is leaving too")
             case AdoptPrograms(incarnation):
                 return Adopted(await node.takeover.take_over(incarnation))
+            case AcquireSlot() | FinishSlot():
+                return await self.scheduling.answer_peer(message)
         return await self.gateway.answer_peer(message)
 
     async def drain(self, is_quiet: Callable[[], bool]) -> None:
--- a/egretford/controllers/scheduling.py
+++ b/egretford/controllers/scheduling.py
@@ -1,27 +1,47 @@
-"""Grants of worker slots in one entry, over the policy's shards."""
+"""Slots for the calls of this entry's programs, from the home of each pool.
+
+The home is one live entry of the region, by rendezvous hashing; it holds the queue of a
+pool, since engines know no priorities. When it is silent the owner decides alone for a
+while, on its own shard: together they then over-admit, by what load reports lag behind.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from attrs import define, frozen
 
 from egretford.context import Context
 from egretford.controllers.configuration import ConfigurationController
 from egretford.controllers.loops import TaskGroup, run_every
-from egretford.errors import ErrorKind, StoreUnavailableError, UpstreamError
+from egretford.controllers.slots import SlotTable, shift_call
+from egretford.errors import (
+    ErrorKind,
+    PeerUnreachableError,
+    RequestError,
+    StoreUnavailableError,
+    UpstreamError,
+    Verdict,
+)
 from egretford.filters.chain import CallJob, Completed
-from egretford.models import CallKind, Pool, Worker
+from egretford.models import CallKind, Member, Pool, Worker
+from egretford.peer.interface import Peers
+from egretford.peer.messages import AcquireSlot, FinishSlot, SlotFinished, SlotProgress
 from egretford.platform.objects import Platform
 from egretford.policy.placement import Link, Placement, PlacementRequest
 from egretford.policy.program import Program
 from egretford.policy.queue import Waiting
-from egretford.policy.shard import Expired, Grant, Shard
-from egretford.upstream.interface import LoadReport, Upstream
+from egretford.policy.shard import Shard
+from egretford.upstream.interface import Upstream
 
 LEAVING_POLL_SECONDS = 1.0
 DISPATCH_PAUSE_SECONDS = 0.25
-RETRY_AFTER_SECONDS = 1.0
+SLOT_WAIT_SECONDS = 2.0
+SLOT_GRACE_SECONDS = 0.5
+FINISH_SECONDS = 1.0
+FINISH_TRIES = 3
+ALONE_SECONDS = 5.0
 
 
 @frozen
@@ -33,32 +53,39 @@
 
 
 @define
-class Ticket:
-    """A call that waits for its grant."""
+class Held:
+    """A slot that a call of this entry holds; `home` is empty for the own shard."""
 
-    job: CallJob
-    granted: asyncio.Future[Worker]
+    home: str
+    granted_at: float
 
 
 class SchedulingController:
-    """Queues calls by pool and grants slots; learns load and leaving workers."""
+    """Acquires slots, and is home of some pools itself."""
 
     def __init__(
         self,
         context: Context,
         platform: Platform,
         upstream: Upstream,
+        peers: Peers,
         configuration: ConfigurationController,
     ) -> None:
-        self.shards: dict[str, Shard] = {}
-        self.boots: dict[str, str] = {}
+        link = context.settings.link
+        placement = Placement(
+            context.settings.regions, Link(link.bits_per_second, link.one_way_seconds)
+        )
+        self.slots = SlotTable(context.clock, placement)
+        self.find_home: Callable[[str], Member | None] = lambda pool: None
         self._context = context
         self._platform = platform
         self._upstream = upstream
+        self._peers = peers
         self._configuration = configuration
         self._clock = context.clock
         self._log = context.make_logger("scheduler")
-        self._tickets: dict[str, Ticket] = {}
+        self._held: dict[str, Held] = {}
+        self._alone_until: dict[str, float] = {}
         self._warm: dict[str, Warm] = {}
         self._attained: dict[str, float] = {}
         self._leaving: set[str] = set()
@@ -66,16 +93,15 @@
         configuration.add_listener(self.apply_tables)
 
     async def start(self) -> None:
-        """Start learning load."""
+        """Start learning load and handing out slots."""
         self.apply_tables()
         interval = self._context.settings.upstream.load_interval
-        self._tasks.spawn(run_every(self._clock, interval, self._read_loads, self._log))
-        self._tasks.spawn(
-            run_every(self._clock, LEAVING_POLL_SECONDS, self._read_leaving, self._log)
-        )
-        self._tasks.spawn(
-            run_every(self._clock, DISPATCH_PAUSE_SECONDS, self._dispatch_all, self._log)
-        )
+        for seconds, action in (
+            (interval, self._read_loads),
+            (LEAVING_POLL_SECONDS, self._read_leaving),
+            (DISPATCH_PAUSE_SECONDS, self._dispatch_all),
+        ):
+            self._tasks.spawn(run_every(self._clock, seconds, action, self._log))
 
     async def close(self) -> None:
         """Stop."""
@@ -83,41 +109,53 @@
 
     def apply_tables(self) -> None:
         """Take the pools in force."""
-        pools = {pool.name: pool for pool in self._configuration.current.tables.pools}
-        for name in set(self.shards) - set(pools):
-            del self.shards[name]
-        for name, pool in pools.items():
-            if name not in self.shards:
-                self.shards[name] = Shard(self._build_placement())
-            self.shards[name].set_pool(pool)
-
-    def _build_placement(self) -> Placement:
-        link = self._context.settings.link
-        return Placement(
-            self._context.settings.regions, Link(link.bits_per_second, link.one_way_seconds)
-        )
+        self.slots.set_pools(self._configuration.current.tables.pools)
+
+    # -- for the owner of calls ---------------------------------------------------------
 
     async def acquire(self, job: CallJob, ticket: str) -> Worker:
         """Wait for a slot until the call's deadline."""
-        shard = self.shards[job.pool.name]
-        waiting = self._describe(job, ticket)
-        if not shard.offer(waiting, waiting.arrived, job.route.limits.queued):
-            raise job.refuse(
-                ErrorKind.OVERLOADED,
-                f"{len(shard)} calls wait for pool {job.pool.name} already",
-                RETRY_AFTER_SECONDS,
-            )
-        future: asyncio.Future[Worker] = asyncio.get_running_loop().create_future()
-        self._tickets[ticket] = Ticket(job, future)
-        self._dispatch(job.pool.name)
+        call = self._describe(job, ticket)
         try:
-            return await future
-        except asyncio.CancelledError:
-            shard.cancel(ticket)
-            shard.finish(ticket, self._clock.monotonic())
+            while True:
+                home = self._choose_home(job.pool.name)
+                worker = await self._ask_home(job, call, home)
+                if worker is not None:
+                    address = home.address if home else ""
+                    self._held[ticket] = Held(address, self._clock.monotonic())
+                    return worker
+                if self._clock.monotonic() >= job.deadline:
+                    raise job.refuse(ErrorKind.TIMEOUT, "no worker was free in the call's time")
+        except (asyncio.CancelledError, RequestError):
+            self._give_back(home, FinishSlot(job.pool.name, ticket, job.program.id))
             raise
-        finally:
-            self._tickets.pop(ticket, None)
+
+    def _choose_home(self, pool: str) -> Member | None:
+        """Return the pool's home; None for this entry itself, or while the home is silent."""
+        if self._clock.monotonic() < self._alone_until.get(pool, 0.0):
+            return None
+        return self.find_home(pool)
+
+    async def _ask_home(self, job: CallJob, call: Waiting, home: Member | None) -> Worker | None:
+        bound = job.route.limits.queued
+        pool = job.pool.name
+        try:
+            if home is None:
+                name = await self.slots.acquire(pool, call, bound, SLOT_WAIT_SECONDS)
+            else:
+                relative = shift_call(call, -self._clock.monotonic())
+                message = AcquireSlot(pool, relative, bound, SLOT_WAIT_SECONDS)
+                seconds = SLOT_WAIT_SECONDS + SLOT_GRACE_SECONDS
+                name = (await self._peers.ask(home.address, message, seconds)).worker
+        except PeerUnreachableError:
+            self._log.warning("the home of a pool is silent; deciding alone", pool=pool)
+            self._alone_until[pool] = self._clock.monotonic() + ALONE_SECONDS
+            return None
+        except RequestError as error:
+            if job.verdict is not Verdict.NOT_RUN:
+                raise job.refuse(error.kind, error.message, error.retry_after_seconds) from error
+            raise
+        return next((w for w in job.pool.workers if w.name == name), None)
 
     def _describe(self, job: CallJob, ticket: str) -> Waiting:
         program = job.program
@@ -144,7 +182,7 @@
         )
 
     def _opened_at(self, program: Program) -> float:
-        """Return when a program's tree was opened, in this process's monotonic time."""
+        """Return when a program was opened, in this process's monotonic time."""
         age = (self._clock.now() - program.opened.opened_at).total_seconds()
         return self._clock.monotonic() - age
 
@@ -157,68 +195,83 @@
         completed: Completed | None = None,
     ) -> None:
         """Give a slot back and learn from the attempt."""
-        shard = self.shards.get(job.pool.name)
-        if shard is None:
+        held = self._held.pop(ticket, None)
+        if held is None:
             return
-        now = self._clock.monotonic()
-        grant = shard.grants.get(ticket)
-        if grant is not None:
-            tree = job.program.root
-            self._attained[tree] = self._attained.get(tree, 0.0) + now - grant.granted_at
-        shard.finish(ticket, now, failed=failed)
+        tree = job.program.root
+        served = self._clock.monotonic() - held.granted_at
+        self._attained[tree] = self._attained.get(tree, 0.0) + served
+        tokens = 0
         if completed is not None and completed.usage.prompt:
             tokens = completed.usage.prompt + completed.usage.completion
             self._warm[job.program.id] = Warm(completed.worker, tokens)
-            shard.note_cached(job.program.id, completed.worker, tokens)
-        self._dispatch(job.pool.name)
+        worker = job.worker.name if job.worker else ""
+        message = FinishSlot(job.pool.name, ticket, job.program.id, failed, worker, tokens)
+        self._give_back(held.home, message)
+
+    def _give_back(self, home: Member | str | None, message: FinishSlot) -> None:
+        address = home.address if isinstance(home, Member) else home
+        if address:
+            self._tasks.spawn(self._send_finish(address, message))
+        else:
+            self._finish_here(message)
+
+    async def _send_finish(self, address: str, message: FinishSlot) -> None:
+        for _ in range(FINISH_TRIES):
+            try:
+                await self._peers.ask(address, message, FINISH_SECONDS)
+                return
+            except (PeerUnreachableError, RequestError):
+                continue
 
     def forget_program(self, program: str) -> None:
         """Drop what is remembered of an ended program."""
         self._warm.pop(program, None)
         self._attained.pop(program, None)
-        for shard in self.shards.values():
-            shard.forget_program(program)
+        self.slots.forget_program(program)
 
-    async def _dispatch_all(self) -> None:
-        for name in list(self.shards):
-            self._dispatch(name, everywhere=True)
+    # -- as home of pools -----------------------------------------------------------------
 
-    def _dispatch(self, pool: str, *, everywhere: bool = False) -> None:
-        shard = self.shards.get(pool)
-        if shard is None:
-            return
-        for result in shard.dispatch(self._clock.monotonic(), everywhere=everywhere):
-            ticket = self._tickets.get(result.ticket)
-            match result:
-                case Grant():
-                    self._hand_over(shard, ticket, result)
-                case Expired():
-                    self._expire(ticket)
-
-    def _hand_over(self, shard: Shard, ticket: Ticket | None, grant: Grant) -> None:
-        if ticket is None or ticket.granted.done():
-            shard.finish(grant.ticket, self._clock.monotonic())
-            return
-        ticket.granted.set_result(shard.workers[grant.worker].worker)
-
-    def _expire(self, ticket: Ticket | None) -> None:
-        if ticket is not None and not ticket.granted.done():
-            ticket.granted.set_exception(
-                ticket.job.refuse(
-                    ErrorKind.TIMEOUT,
-                    "no worker was free within the call's time",
-                    RETRY_AFTER_SECONDS,
+    async def answer_peer(self, message: AcquireSlot | FinishSlot) -> SlotProgress | SlotFinished:
+        """Answer an owner elsewhere; raises RequestError."""
+        match message:
+            case AcquireSlot():
+                call = shift_call(message.call, self._clock.monotonic())
+                worker = await self.slots.acquire(
+                    message.pool, call, message.queue_bound, message.wait_seconds
                 )
-            )
+                return SlotProgress(worker)
+            case FinishSlot():
+                self._finish_here(message)
+                return SlotFinished()
+
+    def _finish_here(self, message: FinishSlot) -> None:
+        self.slots.finish(
+            message.pool,
+            message.ticket,
+            message.program,
+            message.failed,
+            message.worker,
+            message.tokens,
+        )
+
+    async def _dispatch_all(self) -> None:
+        self.slots.drop_forgotten()
+        for name in list(self.slots.shards):
+            self.slots.dispatch(name, everywhere=True)
+
+    def _is_home(self, pool: str) -> bool:
+        alone = self._clock.monotonic() < self._alone_until.get(pool, 0.0)
+        return alone or self.find_home(pool) is None
 
     async def _read_loads(self) -> None:
-        pools = list(self._configuration.current.tables.pools)
+        pools = [p for p in self._configuration.current.tables.pools if self._is_home(p.name)]
         await asyncio.gather(
             *(self._read_load(pool, worker) for pool in pools for worker in pool.workers)
         )
 
     async def _read_load(self, pool: Pool, worker: Worker) -> None:
-        shard = self.shards.get(pool.name)
+        shard: Shard | None = self.slots.shards.get(pool.name)
         if shard is None or worker.name not in shard.workers:
             return
         state = shard.workers[worker.name]
@@ -228,11 +281,8 @@
         except UpstreamError:
             state.avoid(self._clock.monotonic())
             return
-        self._note_report(shard, worker, report, max(granted_then, state.granted))
-
-    def _note_report(self, shard: Shard, worker: Worker, report: LoadReport, granted: int) -> None:
-        self.boots[worker.name] = report.boot
         leaving = report.leaving or worker.address in self._leaving
+        granted = max(granted_then, state.granted)
         shard.note_load(worker.name, report.running + report.waiting, leaving, granted)
 
     async def _read_leaving(self) -> None:
@@ -240,6 +290,6 @@
             self._leaving = await self._platform.list_leaving()
         except StoreUnavailableError:
             return
-        for shard in self.shards.values():
+        for shard in self.slots.shards.values():
             for state in shard.workers.values():
                 state.leaving = state.leaving or state.worker.address in self._leaving
--- a/egretford/peer/messages.py
+++ b/egretford/peer/messages.py
@@ -9,6 +9,7 @@
 from egretford.controllers.configuration import TablesMessage
 from egretford.controllers.runs import CallProgress, CallStep
 from egretford.models import ErrorReply, Member, OpenRequest, ProgramView
+from egretford.policy.queue import Waiting
 
 
 @frozen
@@ -76,10 +77,65 @@
     programs: int
 
 
+@frozen
+class AcquireSlot:
+    """Asks the home of a pool for a slot; repeated until it is granted or refused.
+
+    Times in `call` are relative to the sender's present.
+    """
+
+    pool: str
+    call: Waiting
+    queue_bound: int
+    wait_seconds: float
+
+
+@frozen
+class SlotProgress:
+    """The home's answer: the granted worker's name, if there is one yet."""
+
+    worker: str | None = None
+
+
+@frozen
+class FinishSlot:
+    """Gives a slot back; `tokens` are what the program has cached there now."""
+
+    pool: str
+    ticket: str
+    program: str
+    failed: bool = False
+    worker: str = ""
+    tokens: int = 0
+
+
+@frozen
+class SlotFinished:
+    """The slot is free."""
+
+
 Request = (
-    Ping | PullTables | OpenProgram | ViewProgram | GetCall | EndProgram | AdoptPrograms | CallStep
+    Ping
+    | PullTables
+    | OpenProgram
+    | ViewProgram
+    | GetCall
+    | EndProgram
+    | AdoptPrograms
+    | CallStep
+    | AcquireSlot
+    | FinishSlot
+)
+Reply = (
+    Pong
+    | TablesMessage
+    | ProgramView
+    | CallProgress
+    | Adopted
+    | SlotProgress
+    | SlotFinished
+    | ErrorReply
 )
-Reply = Pong | TablesMessage | ProgramView | CallProgress | Adopted | ErrorReply
 
 configure_tagged_union(Request, converter, tag_name="_type")
 configure_tagged_union(Reply, converter, tag_name="_type")
--- a/egretford/policy/membership.py
+++ b/egretford/policy/membership.py
@@ -92,13 +92,11 @@
             return False
         return self._is_heard(sighting, now) or now - sighting.renewed_seen < self.times.lease
 
-    def list_live(self, now: float, failure_domain: str | None = None) -> list[Member]:
-        """Return live members, this one included, optionally of one failure domain."""
+    def list_live(self, now: float) -> list[Member]:
+        """Return live members, this one included while it serves."""
         found = [self.me] if self.me.state == "serving" else []
-        for name, sighting in self.sightings.items():
-            if self.is_live(name, now):
-                found.append(sighting.member)
-        return [m for m in found if failure_domain in (None, m.failure_domain)]
+        found += [s.member for name, s in self.sightings.items() if self.is_live(name, now)]
+        return found
 
     def list_takeovers(self, now: float) -> list[Sighting]:
         """Return incarnations that this entry should try to take over now.
@@ -141,9 +139,9 @@
         ranked = [live[name] for name in rank_by_hash(member.incarnation, live)]
         return sorted(ranked, key=lambda m: m.failure_domain != member.failure_domain)
 
-    def find_home(self, key: str, now: float, failure_domain: str) -> Member:
-        """Return the live member that is home of `key` in a failure domain; else this one."""
-        members = {m.incarnation: m for m in self.list_live(now, failure_domain)}
+    def find_home(self, key: str, now: float) -> Member:
+        """Return the live member of this one's region that is home of `key`."""
+        members = {m.incarnation: m for m in self.list_live(now) if m.region == self.me.region}
         if not members:
             return self.me
         return members[rank_by_hash(key, members)[0]]
--- a/tests/faults/fakes.py
+++ b/tests/faults/fakes.py
@@ -10,7 +10,7 @@
 from egretford.controllers.runs import CallStep
 from egretford.errors import ObjectMissingError, UpstreamLostError
 from egretford.models import Member, Usage, Worker
-from egretford.peer.messages import AdoptPrograms, Ping, PullTables
+from egretford.peer.messages import AcquireSlot, AdoptPrograms, FinishSlot, Ping, PullTables
 from egretford.platform.objects import Changes, StoredObject
 from egretford.policy.records import (
     Batch,
@@ -136,6 +136,10 @@
                 step = "handover.adopt"
             case CallStep():
                 step = "forward.step"
+            case AcquireSlot():
+                step = "slot.acquire"
+            case FinishSlot():
+                step = "slot.finish"
             case _:
                 step = "forward.control"
         return await self.world.ask_peer(self.host, address, message, step, seconds)
--- a/tests/faults/matrix.py
+++ b/tests/faults/matrix.py
@@ -27,6 +27,8 @@
     "forward.step": "serve",
     "forward.control": "serve",
     "ceiling.append": "serve",
+    "slot.acquire": "serve",
+    "slot.finish": "serve",
     "claim.append": "serve",
     "dispatch.tool": "serve",
     "dispatch.model": "serve",
--- a/tests/promises/test_promises.py
+++ b/tests/promises/test_promises.py
@@ -123,11 +123,15 @@
 
 
 def test_answers_are_whole_when_owners_change(monkeypatch):
-    lost_step = Trigger("forward.step", "after", "silent", nth=3)
     killed_owner = Trigger("settle.append", "after", "kill")
+    lost_steps = [Trigger("forward.step", "after", "silent", nth=n) for n in range(2, 8)]
+
+    def run():
+        return [broken for lost in lost_steps for broken in run_with(lost, killed_owner)]
+
     without, with_it = prove(
         monkeypatch,
-        lambda: run_with(lost_step, killed_owner),
+        run,
         gateway,
         "_complete_text",
         lambda request, received, progress: progress,
