--- a/egretford/bench/main.py
+++ b/egretford/bench/main.py
@@ -12,17 +12,12 @@
 from pathlib import Path
 
 from egretford.bench.decisions import measure_decisions
+from egretford.bench.deployments import FERNHOLLOW, SIALKOT
 from egretford.bench.policies import BASELINES
 from egretford.bench.programs import SHAPES
 from egretford.bench.report import render_page
-from egretford.bench.simulation import (
-    FAULTS,
-    FERNHOLLOW,
-    SIALKOT,
-    Outcome,
-    Scenario,
-    run_scenario,
-)
+from egretford.bench.scenarios import Outcome, Scenario, run_scenario
+from egretford.bench.simulation import FAULTS
 from egretford.codec import to_json
 
 LOADS = (0.5, 0.8, 0.95, 1.2)
--- a/egretford/bench/report.py
+++ b/egretford/bench/report.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from egretford.bench.decisions import DecisionCost
-from egretford.bench.simulation import Outcome
+from egretford.bench.scenarios import Outcome
 
 SHARD = "shard"
 Measure = Callable[[Outcome], float]
--- a/egretford/controllers/janitor.py
+++ b/egretford/controllers/janitor.py
@@ -107,7 +107,7 @@
 
     def _confirm_release(self, program: Program, worker: str) -> None:
         if program.running is None and not self._journal.sealed.is_set():
-            self._owner.note([MemoryReleased(program.id, worker)])
+            self._owner.keeper.note([MemoryReleased(program.id, worker)])
 
     def forget_key_soon(self, openings: OpeningController, key: str) -> None:
         """Delete a forgotten program's opening in the background."""
--- a/egretford/controllers/node.py
+++ b/egretford/controllers/node.py
@@ -77,14 +77,14 @@
     def _build_chain(
         self, context: Context, upstream: Upstream, crashes: CrashController
     ) -> Proceed:
-        dispatcher = Dispatcher(upstream, self.owner, context.clock, context.rng)
+        dispatcher = Dispatcher(upstream, self.owner.keeper, context.clock, context.rng)
         filters = [
             LimitFilter(context.settings.limits.running_calls),
             RetryFilter(context.clock, context.rng),
             QuarantineFilter(crashes, context.clock),
-            BudgetFilter(self.owner),
+            BudgetFilter(self.owner.keeper),
             GrantFilter(self._scheduling, context.clock),
-            ClaimFilter(self.owner),
+            ClaimFilter(self.owner.keeper),
         ]
         return build_chain(filters, dispatcher.dispatch)
 
--- a/egretford/controllers/owner.py
+++ b/egretford/controllers/owner.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
-from functools import partial
+from collections.abc import Callable
 
 from attrs import evolve
 
@@ -12,12 +11,11 @@
 from egretford.controllers.configuration import ConfigurationController
 from egretford.controllers.journal import JournalWriter
 from egretford.controllers.loops import TaskGroup
+from egretford.controllers.records import STORE_RETRY_SECONDS, RecordKeeper
 from egretford.controllers.runs import CallProgress, CallRun, CallStep
 from egretford.errors import (
     EgretfordError,
     ErrorKind,
-    JournalFullError,
-    JournalSealedError,
     RequestError,
     Verdict,
 )
@@ -50,7 +48,6 @@
 )
 
 SENDING_KEPT_SECONDS = 60.0
-STORE_RETRY_SECONDS = 2.0
 _NO_USAGE = Usage()
 
 
@@ -68,6 +65,9 @@
         self.incarnation = incarnation
         self.journal = journal
         self.table = table
+        self.keeper = RecordKeeper(
+            journal, table, context.clock, context.settings.journal.durable_wait_seconds
+        )
         self._context = context
         self._configuration = configuration
         self._clock = context.clock
@@ -127,9 +127,9 @@
     async def _append_opening(self, record: ProgramOpened) -> None:
         parent = record.parent
         root = self.table.root_of(parent) if parent else record.program
-        done = self._append([record], lambda program: root)
+        done = self.keeper.append([record], lambda program: root)
         self.table.apply(record)
-        durable = await self._wait(done, self._context.settings.journal.durable_wait_seconds)
+        durable = await self.keeper.wait(done)
         if not durable:
             self._log.warning(
                 "opened a program in memory; the store is out", program=record.program
@@ -169,11 +169,11 @@
         now = self._clock.now()
         ending = [member for member in self.table.tree_of(program) if member.ended is None]
         records = [ProgramEnded(member.id, reason, now) for member in ending]
-        self.note(records)
+        self.keeper.note(records)
         for member in ending:
             self._wake_waiters(member.id)
             self.on_ended(member)
-        if not await self._wait_pending():
+        if not await self.keeper.wait_pending():
             raise RequestError(
                 ErrorKind.STORE_UNAVAILABLE,
                 "the end is not recorded yet; send it again",
@@ -321,7 +321,7 @@
         root = job.program.account.root
         if root.needs_ceiling(record.charged_tokens + 2 * job.token_bound):
             records.append(CeilingRaised(job.program.root, root.plan_ceiling(2 * job.token_bound)))
-        await self._settle_records(job.program, records)
+        await self.keeper.settle(job.program, records)
         job.program.running = None
         self._finish(job)
 
@@ -339,27 +339,6 @@
             worker=completed.worker if completed and job.token_bound else "",
         )
 
-    async def _settle_records(self, program: Program, records: list[Record]) -> None:
-        """Append and fold a settled call; ceilings are folded only once they are durable.
-
-        Returns when the call is durable, or after a while without: until it is, the
-        program counts it as volatile.
-        """
-        done = self._append(records)
-        self.table.apply(records[0])
-        program.volatile.add(program.last_call)
-        done.add_done_callback(partial(self._note_durable, program, records))
-        await self._wait(done, self._context.settings.journal.durable_wait_seconds)
-
-    def _note_durable(
-        self, program: Program, records: list[Record], done: asyncio.Future[int]
-    ) -> None:
-        if done.cancelled() or done.exception() is not None:
-            return
-        program.volatile.discard(records[0].call)
-        for record in records[1:]:
-            self.table.apply(record)
-
     def _finish(self, job: CallJob) -> None:
         job.run.finish(job.program.outcome_of(job.request.call))
         self._wake_waiters(job.program.id)
@@ -369,7 +348,7 @@
         claimed = not job.request.is_repeatable and job.may_have_run
         if claimed and error.verdict is Verdict.MAY_HAVE_RUN and not self.journal.sealed.is_set():
             try:
-                await self._settle_records(job.program, [self._settling_record(job, None)])
+                await self.keeper.settle(job.program, [self._settling_record(job, None)])
             except RequestError as unsettled:
                 self._log.warning(
                     "could not settle a call in doubt", program=job.program.id, why=str(unsettled)
@@ -377,66 +356,6 @@
         job.program.running = None
         job.run.fail(error)
 
-    def _append(
-        self, records: Iterable[Record], root_of: Callable[[str], str] | None = None
-    ) -> asyncio.Future[int]:
-        try:
-            return self.journal.append(records, root_of)
-        except JournalFullError as error:
-            raise RequestError(
-                ErrorKind.STORE_UNAVAILABLE,
-                f"the store is out and the journal's buffer is full: {error}",
-                retry_after_seconds=STORE_RETRY_SECONDS,
-            ) from error
-        except JournalSealedError as error:
-            raise RequestError(
-                ErrorKind.OWNER_UNREACHABLE,
-                "the program has moved to another entry; send the call again",
-                verdict=Verdict.MAY_HAVE_RUN,
-            ) from error
-
-    async def _wait(self, done: asyncio.Future[int], seconds: float) -> bool:
-        """Wait for durability; raises RequestError if the journal was sealed."""
-        try:
-            async with asyncio.timeout(max(0.0, seconds)):
-                await asyncio.shield(done)
-            return True
-        except TimeoutError:
-            return False
-        except JournalSealedError as error:
-            raise RequestError(
-                ErrorKind.OWNER_UNREACHABLE,
-                "the program has moved to another entry; send the call again",
-                verdict=Verdict.MAY_HAVE_RUN,
-            ) from error
-
-    async def _wait_pending(self) -> bool:
-        """Wait until all that was appended so far is durable; False if it is not in time."""
-        try:
-            async with asyncio.timeout(self._context.settings.journal.durable_wait_seconds):
-                await self.journal.flush()
-        except (TimeoutError, JournalSealedError):
-            return False
-        return not self.journal.sealed.is_set()
-
-    async def make_durable(self, job: CallJob, records: list[Record]) -> None:
-        """Append records and fold them once they are durable; see JobJournal."""
-        done = self._append(records)
-        if not await self._wait(done, job.deadline - self._clock.monotonic()):
-            raise job.refuse(
-                ErrorKind.STORE_UNAVAILABLE,
-                "the store is out; what this call needs to record could not be kept in time",
-                STORE_RETRY_SECONDS,
-            )
-        for record in records:
-            self.table.apply(record)
-
-    def note(self, records: list[Record]) -> None:
-        """Fold records now and append them without waiting; see JobJournal."""
-        self._append(records)
-        for record in records:
-            self.table.apply(record)
-
     def list_expired(self) -> list[str]:
         """Return open root programs whose budget of seconds is spent and that run nothing."""
         now = self._clock.now()
--- a/tests/promises/test_promises.py
+++ b/tests/promises/test_promises.py
@@ -6,8 +6,9 @@
 import pytest
 from attrs import evolve
 
-from egretford.controllers import gateway, instance, janitor, owner
+from egretford.controllers import gateway, instance, janitor
 from egretford.controllers.configuration import TablesMessage
+from egretford.controllers.records import RecordKeeper
 from egretford.errors import Verdict
 from egretford.filters.chain import CallJob
 from egretford.filters.claims import ClaimFilter
@@ -88,13 +89,13 @@
 def test_history_is_not_lost(monkeypatch):
     async def answer_before_it_is_durable(self, program, records):
         for record in records:
-            self.table.apply(record)
+            self._table.apply(record)
 
     without, with_it = prove(
         monkeypatch,
         lambda: run_with(variant="takeover"),
-        owner.Owner,
-        "_settle_records",
+        RecordKeeper,
+        "settle",
         answer_before_it_is_durable,
     )
     assert any("lost" in violation for violation in without)
