--- a/egretford/cli/daemons.py
+++ b/egretford/cli/daemons.py
@@ -4,21 +4,33 @@
 
 import argparse
 import asyncio
+import sys
 from pathlib import Path
 
 from egretford.cli.exits import ExitStatus
-from egretford.logs import configure_logs
+
+# Imported by structlog and by blacksheep's helpers, for features that are not used here.
+UNUSED_LIBRARIES = ("rich", "pydantic")
 
 
 def run_daemon(words: list[str]) -> int:
     """Run `entry` or `standin` until it is told to leave."""
+    leave_out_unused()
     options = build_parser().parse_args(words)
+    from egretford.logs import configure_logs
+
     configure_logs(options.log_level)
     if options.command == "entry":
         return _run_entry(options.settings)
     return _run_standin(options)
 
 
+def leave_out_unused() -> None:
+    """Keep libraries from importing what they only use when it happens to be installed."""
+    for name in UNUSED_LIBRARIES:
+        sys.modules.setdefault(name, None)
+
+
 def build_parser() -> argparse.ArgumentParser:
     """Build the parser of the daemon commands."""
     parser = argparse.ArgumentParser(prog="egretford")
