--- a/egretford/api/chat.py
+++ b/egretford/api/chat.py
@@ -21,9 +21,9 @@
 from egretford.api.programs import ProgramRoutes, in_doubt
 from egretford.controllers.configuration import ConfigurationController
 from egretford.controllers.gateway import Gateway
-from egretford.controllers.runs import CallProgress
 from egretford.errors import ErrorKind, RequestError
 from egretford.models import CallKind, CallOutcome, CallRequest, OpenRequest, Urgency
+from egretford.policy.steps import CallProgress
 
 ANONYMOUS = "anonymous"
 DEFAULT_MAX_TOKENS = 256
--- a/egretford/api/programs.py
+++ b/egretford/api/programs.py
@@ -18,10 +18,10 @@
 )
 from egretford.clock import Clock
 from egretford.controllers.gateway import Gateway
-from egretford.controllers.runs import CallProgress
 from egretford.errors import ErrorKind, RequestError
 from egretford.metrics import Metrics
 from egretford.models import CallOutcome, CallRequest, OpenRequest
+from egretford.policy.steps import CallProgress
 
 
 class ProgramRoutes:
--- a/egretford/controllers/configuration.py
+++ b/egretford/controllers/configuration.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 import orjson
-from attrs import frozen
 
 from egretford.context import Context
 from egretford.controllers.loops import TaskGroup, run_every
 from egretford.errors import ObjectMissingError, StoreUnavailableError
+from egretford.models import TablesMessage
 from egretford.platform.objects import Platform, StoredObject
 from egretford.policy.configuration import Configuration
 from egretford.tables import TABLES_KEY
@@ -19,14 +19,6 @@
 WATCH_PAUSE_SECONDS = 0.05
 
 
-@frozen
-class TablesMessage:
-    """Stored tables on their way between entries; `raw` is the store's JSON text."""
-
-    revision: int
-    raw: str
-
-
 class ConfigurationController:
     """Keeps the highest revision that the store or any peer has shown."""
 
--- a/egretford/controllers/gateway.py
+++ b/egretford/controllers/gateway.py
@@ -15,7 +15,6 @@
 from egretford.context import Context
 from egretford.controllers.node import Node, incarnation_of
 from egretford.controllers.openings import opening_key
-from egretford.controllers.runs import CallProgress, CallStep
 from egretford.errors import (
     ErrorKind,
     ObjectMissingError,
@@ -27,6 +26,7 @@
 from egretford.models import CallRequest, Member, OpenRequest, ProgramView
 from egretford.peer.interface import Peers
 from egretford.peer.messages import EndProgram, GetCall, OpenProgram, ViewProgram
+from egretford.policy.steps import CallProgress, CallStep
 
 STEP_SECONDS = 2.0
 STEP_GRACE_SECONDS = 1.5
--- a/egretford/controllers/owner.py
+++ b/egretford/controllers/owner.py
@@ -12,7 +12,7 @@
 from egretford.controllers.journal import JournalWriter
 from egretford.controllers.loops import TaskGroup
 from egretford.controllers.records import STORE_RETRY_SECONDS, RecordKeeper
-from egretford.controllers.runs import CallProgress, CallRun, CallStep
+from egretford.controllers.runs import CallRun
 from egretford.errors import (
     EgretfordError,
     ErrorKind,
@@ -46,6 +46,7 @@
     ProgramOpened,
     Record,
 )
+from egretford.policy.steps import CallProgress, CallStep
 
 SENDING_KEPT_SECONDS = 60.0
 _NO_USAGE = Usage()
--- a/egretford/models.py
+++ b/egretford/models.py
@@ -271,6 +271,14 @@
     tables: Tables
 
 
+@frozen
+class TablesMessage:
+    """Stored tables on their way between entries; `raw` is the store's JSON text."""
+
+    revision: int
+    raw: str
+
+
 @frozen
 class Member:
     """An entry incarnation as it announces itself."""
--- a/egretford/peer/messages.py
+++ b/egretford/peer/messages.py
@@ -6,10 +6,9 @@
 from cattrs.strategies import configure_tagged_union
 
 from egretford.codec import converter
-from egretford.controllers.configuration import TablesMessage
-from egretford.controllers.runs import CallProgress, CallStep
-from egretford.models import ErrorReply, Member, OpenRequest, ProgramView
+from egretford.models import ErrorReply, Member, OpenRequest, ProgramView, TablesMessage
 from egretford.policy.queue import Waiting
+from egretford.policy.steps import CallProgress, CallStep
 
 
 @frozen
--- /dev/null
+++ b/egretford/policy/steps.py
@@ -0,0 +1,43 @@
+"""What a caller's entry and a program's owner say to each other about one call."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from egretford.models import CallOutcome, CallRequest, ErrorReply
+
+
+@frozen
+class CallStep:
+    """One request of a caller's entry to the owner; repeated until the call is done.
+
+    `sending` names one HTTP request of the caller, `cursor` counts the tokens that it has
+    received. `delivered` are these tokens themselves, sent only when the owner may have
+    changed. `wait_seconds` is how long the owner may hold the answer back.
+    """
+
+    program: str
+    sending: str
+    request: CallRequest
+    cursor: int
+    delivered: list[str]
+    wait_seconds: float
+    seconds_left: float
+    whole_history: bool = False
+
+
+@frozen
+class CallProgress:
+    """The owner's answer to a step; `waiting` says that the call has not started."""
+
+    tokens: list[str]
+    waiting: bool = False
+    outcome: CallOutcome | None = None
+    error: ErrorReply | None = None
+    tenant: str = ""
+    urgency: str = ""
+
+    @property
+    def is_done(self) -> bool:
+        """Whether there is nothing more to come."""
+        return self.outcome is not None or self.error is not None
--- a/tests/faults/caller.py
+++ b/tests/faults/caller.py
@@ -5,10 +5,10 @@
 
 from attrs import Factory, define
 
-from egretford.controllers.runs import CallProgress
 from egretford.errors import ErrorKind, RequestError, Verdict
 from egretford.models import Budget, CallKind, CallOutcome, CallRequest, OpenRequest, Urgency
 from egretford.policy.history import extend_digest, start_digest
+from egretford.policy.steps import CallProgress
 from tests.faults.world import Host, World
 
 CALL_SECONDS = 20.0
--- a/tests/faults/fakes.py
+++ b/tests/faults/fakes.py
@@ -7,7 +7,6 @@
 from attrs import define
 
 from egretford.codec import decode_bytes
-from egretford.controllers.runs import CallStep
 from egretford.errors import UpstreamLostError
 from egretford.models import Member, Usage, Worker
 from egretford.peer.messages import AcquireSlot, AdoptPrograms, FinishSlot, Ping, PullTables
@@ -21,6 +20,7 @@
     ProgramEnded,
     ProgramOpened,
 )
+from egretford.policy.steps import CallStep
 from egretford.standin.batching import EngineRequest
 from egretford.upstream.interface import (
     Finish,
--- a/tests/promises/test_promises.py
+++ b/tests/promises/test_promises.py
@@ -7,12 +7,11 @@
 from attrs import evolve
 
 from egretford.controllers import gateway, instance, janitor
-from egretford.controllers.configuration import TablesMessage
 from egretford.controllers.records import RecordKeeper
 from egretford.errors import Verdict
 from egretford.filters.chain import CallJob
 from egretford.filters.claims import ClaimFilter
-from egretford.models import CallKind, CallRequest
+from egretford.models import CallKind, CallRequest, TablesMessage
 from egretford.policy.budget import Account
 from egretford.policy.configuration import Configuration
 from egretford.policy.placement import WorkerState
