Remove what is left of a former incarnation once its process is surely gone

Ruled out: deleting by age, since a paused former owner may thaw at any time and append behind a deleted seal. Change: the successor deletes both once it owns no program of that incarnation and another incarnation listens at its address, which only one process can. Before: 2 objects a former incarnation for ever (the new test was not run against the old code, which had no deletion at all). After: none left 150 s after a restart.

--- a/egretford/controllers/gateway.py
+++ b/egretford/controllers/gateway.py
@@ -13,7 +13,7 @@
 from attrs import define, evolve, frozen
 
 from egretford.context import Context
-from egretford.controllers.node import Node, incarnation_of
+from egretford.controllers.node import Node
 from egretford.controllers.openings import opening_key
 from egretford.errors import (
     ErrorKind,
@@ -23,7 +23,7 @@
     StoreUnavailableError,
     Verdict,
 )
-from egretford.models import CallRequest, Member, OpenRequest, ProgramView
+from egretford.models import CallRequest, Member, OpenRequest, ProgramView, incarnation_of
 from egretford.peer.interface import Peers
 from egretford.peer.messages import EndProgram, GetCall, OpenProgram, ViewProgram
 from egretford.policy.steps import CallProgress, CallStep
--- a/egretford/controllers/node.py
+++ b/egretford/controllers/node.py
@@ -30,11 +30,6 @@
 INCARNATION_BITS = 64
 
 
-def incarnation_of(program: str) -> str:
-    """Return the incarnation that a program's id names."""
-    return program.rpartition("-")[0]
-
-
 class Node:
     """The controllers of one incarnation; replaced as a whole once it is taken over."""
 
--- a/egretford/controllers/takeover.py
+++ b/egretford/controllers/takeover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from attrs import evolve
 
@@ -19,7 +20,7 @@
 from egretford.controllers.members import MEMBER_PREFIX, MembersController
 from egretford.controllers.owner import Owner
 from egretford.errors import ObjectMissingError, StoreUnavailableError, VersionConflictError
-from egretford.models import Member
+from egretford.models import Member, incarnation_of
 from egretford.platform.objects import Platform, StoredObject
 from egretford.policy.records import Batch
 from egretford.policy.segments import pack_records
@@ -27,6 +28,7 @@
 
 CHECK_SECONDS = 0.5
 RETRY_SECONDS = 0.2
+SWEEP_SECONDS = 10.0
 SEAL_TRIES = 50
 
 
@@ -76,9 +78,9 @@
 
     async def start(self) -> None:
         """Start checking for lapsed leases."""
-        self._tasks.spawn(
-            run_every(self._context.clock, CHECK_SECONDS, self._check_leases, self._log)
-        )
+        clock = self._context.clock
+        self._tasks.spawn(run_every(clock, CHECK_SECONDS, self._check_leases, self._log))
+        self._tasks.spawn(run_every(clock, SWEEP_SECONDS, self._sweep, self._log))
 
     async def close(self) -> None:
         """Stop."""
@@ -190,3 +192,21 @@
                 await self._platform.delete(item.key)
             except ObjectMissingError:
                 continue
+
+    async def _sweep(self) -> None:
+        """Delete what is left of former incarnations that own no program any more."""
+        if self._journal.sealed.is_set():
+            return
+        kept = {incarnation_of(program) for program in self._owner.table.programs}
+        membership = self._members.membership
+        for member in membership.list_replaced(self._members.now()):
+            if member.incarnation not in kept:
+                await self._delete_former(member.incarnation)
+
+    async def _delete_former(self, incarnation: str) -> None:
+        """Delete a seal and its member object; the process that wrote there is gone."""
+        for item in await self._platform.list(f"{JOURNAL_PREFIX}/{incarnation}/"):
+            with contextlib.suppress(ObjectMissingError):
+                await self._platform.delete(item.key)
+        with contextlib.suppress(ObjectMissingError):
+            await self._platform.delete(MEMBER_PREFIX + incarnation)
--- a/egretford/models.py
+++ b/egretford/models.py
@@ -14,6 +14,12 @@
 
 Message = dict[str, Any]
 
+
+def incarnation_of(program: str) -> str:
+    """Return the incarnation that a program's id names."""
+    return program.rpartition("-")[0]
+
+
 MAX_NAME_LENGTH = 128
 MAX_CALL_NUMBER = 1_000_000
 MAX_CALL_SECONDS = 3_600.0
--- a/egretford/policy/membership.py
+++ b/egretford/policy/membership.py
@@ -114,6 +114,21 @@
             if s.member.owner == self.me.incarnation and s.member.state == "adopted"
         ]
 
+    def list_replaced(self, now: float) -> list[Member]:
+        """Return incarnations copied by this one whose process is surely gone.
+
+        Another incarnation that listens at the same address proves it, since only one
+        process can.
+        """
+        addresses = {member.address for member in self.list_live(now)}
+        return [
+            s.member
+            for s in self.sightings.values()
+            if s.member.owner == self.me.incarnation
+            and s.member.state == "copied"
+            and s.member.address in addresses
+        ]
+
     def _should_take_over(self, sighting: Sighting, now: float) -> bool:
         member = sighting.member
         if not sighting.listed or member.owner != member.incarnation:
--- a/tests/controllers/test_upkeep.py
+++ b/tests/controllers/test_upkeep.py
@@ -5,7 +5,7 @@
 
 from attrs import evolve
 
-from egretford.models import CallKind, CallRequest, OpenRequest, Urgency
+from egretford.models import CallKind, CallRequest, OpenRequest, Urgency, incarnation_of
 from tests.faults.caller import Caller, Ledger
 from tests.faults.scenario import BUDGET, build_tables, start_host, write_tables
 from tests.faults.virtual import run_virtual
@@ -53,6 +53,26 @@
     assert openings == 0
 
 
+def test_nothing_is_left_of_a_process_that_was_replaced():
+    async def run():
+        world = await open_world(2)
+        caller = Caller(world, Ledger())
+        program = await caller.open(BUDGET)
+        await program.call(CallKind.MODEL, "turn")
+        former = incarnation_of(program.id)
+        owner = next(h for h in world.hosts.values() if h.instance.node.incarnation == former)
+        owner.dead.set()
+        await program.call(CallKind.MODEL, "served by the successor")
+        await program.end()
+        during = [key for key in world.store.objects if former in key]
+        await asyncio.sleep(150.0)
+        return during, [key for key in world.store.objects if former in key]
+
+    during, after = run_virtual(run())
+    assert during
+    assert after == []
+
+
 def test_abandoned_program_ends_and_its_memory_is_freed():
     async def run():
         world = await open_world(2)
