--- a/egretford/api/application.py
+++ b/egretford/api/application.py
@@ -7,7 +7,7 @@
 from egretford.api.bodies import write_error
 from egretford.api.chat import ChatRoutes
 from egretford.api.programs import ProgramRoutes
-from egretford.api.routing import Handler, add_route
+from egretford.api.routing import Handler, add_route, create_application
 from egretford.api.status import StatusRoutes
 from egretford.errors import ErrorKind, RequestError
 
@@ -23,7 +23,7 @@
     programs: ProgramRoutes, chat: ChatRoutes, status: StatusRoutes, counter: RequestCounter
 ) -> Application:
     """Join all routes; every error becomes a body with a verdict."""
-    app = Application()
+    app = create_application()
 
     def work(handler: Handler) -> Handler:
         return _refuse_when_unready(handler, status, counter)
--- a/egretford/api/routing.py
+++ b/egretford/api/routing.py
@@ -4,11 +4,16 @@
 
 from collections.abc import Awaitable, Callable
 
-from blacksheep import Application, Request, Response
+from blacksheep import Application, Request, Response, Router
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+def create_application() -> Application:
+    """Create an application with a router of its own, not the library's shared one."""
+    return Application(router=Router())
+
+
 def add_route(app: Application, method: str, path: str, handler: Handler) -> None:
     """Route a method and path to a handler."""
 
--- a/egretford/standin/engine.py
+++ b/egretford/standin/engine.py
@@ -14,7 +14,7 @@
 from blacksheep import Application, Request, Response
 
 from egretford.api.bodies import stream_events
-from egretford.api.routing import add_route
+from egretford.api.routing import add_route, create_application
 from egretford.codec import explain_error, from_json
 from egretford.standin.batching import BatchModel, EngineProfile, EngineRequest
 from egretford.standin.cache import Block
@@ -95,7 +95,7 @@
         self.loads: deque[tuple[float, dict[str, Any]]] = deque(maxlen=1_000)
         self.events: list[tuple[float, dict[str, Any]]] = []
         self.prefilled_tokens = 0
-        self.app = Application()
+        self.app = create_application()
         self.app.on_start += self.start
         self._work = asyncio.Event()
         self._loop: asyncio.Task[None] | None = None
--- a/egretford/standin/platform.py
+++ b/egretford/standin/platform.py
@@ -9,9 +9,9 @@
 from typing import Any
 
 import orjson
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Content, Request, Response
 
-from egretford.api.routing import add_route
+from egretford.api.routing import add_route, create_application
 from egretford.codec import explain_error, from_json
 from egretford.errors import ObjectMissingError, VersionConflictError
 from egretford.platform.objects import StoredObject
@@ -58,7 +58,7 @@
         self.writes = RateLimit(WRITES_PER_SECOND)
         self.by_prefix: dict[str, int] = {}
         self.instances: list[tuple[float, list[dict[str, str]]]] = []
-        self.app = Application()
+        self.app = create_application()
         self._add_routes()
 
     def _add_routes(self) -> None:
--- a/egretford/standin/service.py
+++ b/egretford/standin/service.py
@@ -8,9 +8,9 @@
 
 import orjson
 from attrs import define, field, frozen, validators
-from blacksheep import Application, Request, Response
+from blacksheep import Request, Response
 
-from egretford.api.routing import add_route
+from egretford.api.routing import add_route, create_application
 from egretford.codec import explain_error, from_json
 from egretford.standin.engine import break_connection
 from egretford.standin.platform import reply_json
@@ -62,7 +62,7 @@
         self.running = 0
         self.leaving = False
         self.boot = str(time.time_ns())
-        self.app = Application()
+        self.app = create_application()
         add_route(self.app, "POST", "/call", self.call)
         add_route(self.app, "POST", "/faults", self.set_fault)
         add_route(self.app, "GET", "/effects", self.read_effects)
