Open programs on service routes, and keep the verdict when a route is gone

Cause: opening asked for an engine's pool, so a program of tool calls only was refused; a call whose route had been removed was told not_run although an earlier try of a model call may have run under a former owner. Change: opening asks only for the route; the refusal carries the program's verdict. Test: a program on a service route makes a tool call (404 before, 200 after).

--- a/egretford/controllers/owner.py
+++ b/egretford/controllers/owner.py
@@ -21,7 +21,7 @@
 )
 from egretford.filters.chain import CallJob, Completed, Proceed
 from egretford.models import (
-    CallKind,
+    CallRequest,
     OpenRequest,
     Pool,
     ProgramView,
@@ -97,7 +97,7 @@
 
     async def open(self, request: OpenRequest, opening_key: str | None = None) -> Program:
         """Open a program and make it durable, or keep it in memory during an outage."""
-        route, _ = self._find_route(request.route, CallKind.MODEL, None)
+        route = self._find_opening_route(request.route)
         if len(self.table.programs) >= self._context.settings.limits.programs:
             raise RequestError(
                 ErrorKind.OVERLOADED, "this entry holds too many programs", retry_after_seconds=1.0
@@ -263,7 +263,7 @@
         if self.journal.sealed.is_set() or lost_run:
             raise _lost_ownership(program, request.is_repeatable or lost_run)
         name = request.service or program.opened.route
-        route, pool = self._find_route(name, request.kind, program)
+        route, pool = self._find_route(name, request, program)
         run = CallRun(fingerprint_request(request), step.delivered)
         seconds = min(
             step.seconds_left,
@@ -287,15 +287,25 @@
         self._tasks.spawn(self._run(job))
         return run
 
-    def _find_route(self, name: str, kind: CallKind, program: Program | None) -> tuple[Route, Pool]:
+    def _find_opening_route(self, name: str) -> Route:
+        """Return a route whatever its pool serves: a program may make tool calls only."""
+        route = self._configuration.current.find_route(name)
+        if route is None:
+            raise RequestError(
+                ErrorKind.UNKNOWN_ROUTE, f"no route {name!r}; see 'egretford get routes'"
+            )
+        return route
+
+    def _find_route(self, name: str, request: CallRequest, program: Program) -> tuple[Route, Pool]:
         tables = self._configuration.current
         route = tables.find_route(name)
-        pool = tables.resolve(route, kind) if route else None
+        pool = tables.resolve(route, request.kind) if route else None
         if route is None or pool is None:
             raise RequestError(
                 ErrorKind.UNKNOWN_ROUTE,
-                f"no route {name!r} leads to a pool for {kind} calls; "
+                f"no route {name!r} leads to a pool for {request.kind} calls; "
                 "see 'egretford get routes'",
+                verdict=program.unrun_verdict(request),
             )
         return route, pool
 
--- a/tests/processes/test_sessions.py
+++ b/tests/processes/test_sessions.py
@@ -87,6 +87,13 @@
         assert child not in [row["program"] for row in held]
 
 
+async def test_program_of_a_service_route_makes_tool_calls_only(deployment):
+    program = await deployment.open(route="booking-app")
+    booking = await deployment.call(program, 1, "book", kind="tool")
+    model = await deployment.call(program, 2, "think")
+    assert (booking.status, model.status) == (200, 404)
+
+
 async def test_opening_with_a_key_is_safe_to_repeat(deployment):
     body = {
         "route": "agent-models",
