--- a/egretford/controllers/loops.py
+++ b/egretford/controllers/loops.py
@@ -9,6 +9,7 @@
 from egretford.clock import Clock
 
 FAILURE_PAUSE_SECONDS = 0.5
+CLOSE_SECONDS = 2.0
 
 
 class TaskGroup:
@@ -28,11 +29,12 @@
         return len(self._tasks)
 
     async def close(self) -> None:
-        """Cancel all tasks and wait for them."""
+        """Cancel all tasks and wait for them, but not for one that a library holds up."""
         tasks = [task for task in self._tasks if task is not asyncio.current_task()]
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
 
 
 async def run_every(
--- a/tests/upstream/test_http.py
+++ b/tests/upstream/test_http.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import pytest
-import uvicorn
 
 from egretford.errors import UpstreamLostError, UpstreamRefusedError, UpstreamRejectedError
 from egretford.models import Worker
@@ -13,8 +12,8 @@
 from egretford.standin.service import ServiceStandin
 from egretford.upstream.http import HttpUpstream
 from egretford.upstream.interface import Finish, ModelDispatch, Token, ToolDispatch
+from tests.servers import HOST, serve
 
-HOST = "127.0.0.1"
 MESSAGES = [{"role": "user", "content": "hello"}]
 
 
@@ -44,16 +43,6 @@
         target.close()
 
 
-async def serve(app):
-    server = uvicorn.Server(
-        uvicorn.Config(app, host=HOST, port=0, log_config=None, timeout_graceful_shutdown=1)
-    )
-    task = asyncio.create_task(server._serve())
-    while not server.started:  # noqa: ASYNC110 - the server has no event for it
-        await asyncio.sleep(0.01)
-    return server, task, server.servers[0].sockets[0].getsockname()[1]
-
-
 @pytest.fixture
 async def client():
     upstream = HttpUpstream(UpstreamSettings(silence=0.4, connect=0.5))
