Enforce a route's bound on message sizes

Cause: limits.body_bytes of a route was read and never used. Change: the limit filter refuses larger messages as not run, before anything is spent. Test: bounds by entry, tenant and size, of which only the first two held before.

--- a/egretford/filters/limits.py
+++ b/egretford/filters/limits.py
@@ -1,4 +1,4 @@
-"""Bounds on running calls, for the entry and for each tenant of a route."""
+"""Bounds on the size of calls, and on running ones by entry and by tenant of a route."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 from egretford.errors import ErrorKind
 from egretford.filters.chain import CallJob, Completed, Proceed
+from egretford.policy.history import measure_bytes
 
 RETRY_AFTER_SECONDS = 1.0
 
@@ -33,6 +34,13 @@
                 del self._by_tenant[key]
 
     def _check(self, job: CallJob, key: tuple[str, str]) -> None:
+        size = measure_bytes(job.request.messages)
+        if size > job.route.limits.body_bytes:
+            raise job.refuse(
+                ErrorKind.TOO_LARGE,
+                f"the messages have {size} bytes; route {key[0]} takes "
+                f"{job.route.limits.body_bytes}",
+            )
         if self._running >= self._running_calls:
             raise job.refuse(
                 ErrorKind.OVERLOADED, "this entry runs too many calls", RETRY_AFTER_SECONDS
