--- a/egretford/controllers/records.py
+++ b/egretford/controllers/records.py
@@ -67,11 +67,7 @@
                 retry_after_seconds=STORE_RETRY_SECONDS,
             ) from error
         except JournalSealedError as error:
-            raise RequestError(
-                ErrorKind.OWNER_UNREACHABLE,
-                "the program has moved to another entry; send the call again",
-                verdict=Verdict.MAY_HAVE_RUN,
-            ) from error
+            raise _report_move() from error
 
     async def wait(self, done: asyncio.Future[int], seconds: float | None = None) -> bool:
         """Wait for durability; raises RequestError if the journal was sealed."""
@@ -84,11 +80,7 @@
         except TimeoutError:
             return False
         except JournalSealedError as error:
-            raise RequestError(
-                ErrorKind.OWNER_UNREACHABLE,
-                "the program has moved to another entry; send the call again",
-                verdict=Verdict.MAY_HAVE_RUN,
-            ) from error
+            raise _report_move() from error
 
     async def wait_pending(self) -> bool:
         """Wait until all that was appended so far is durable; False if it is not in time."""
@@ -116,3 +108,11 @@
         self.append(records)
         for record in records:
             self._table.apply(record)
+
+
+def _report_move() -> RequestError:
+    return RequestError(
+        ErrorKind.OWNER_UNREACHABLE,
+        "the program has moved to another entry; send the call again",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
