--- a/egretford/api/application.py
+++ b/egretford/api/application.py
@@ -69,4 +69,7 @@
 
 
 async def _handle_error(app: Application, request: Request, error: RequestError) -> Response:
-    return write_error(error)
+    response = write_error(error)
+    if error.kind is ErrorKind.NOT_READY:
+        response.add_header(b"Connection", b"close")
+    return response
--- a/egretford/controllers/instance.py
+++ b/egretford/controllers/instance.py
@@ -36,6 +36,7 @@
 
 FENCE_CHECK_SECONDS = 0.2
 DRAIN_CHECK_SECONDS = 0.05
+LINGER_SECONDS = 1.5
 ADOPT_SECONDS = 10.0
 
 
@@ -158,6 +159,8 @@
                 await self._hand_over(node)
         except (TimeoutError, StoreUnavailableError, JournalSealedError) as error:
             self._log.warning("could not hand over; a takeover will follow", error=repr(error))
+        # Callers that reuse an idle connection meanwhile get a refusal, not a broken one.
+        await self._context.clock.sleep(LINGER_SECONDS)
         await self._wait_until(lambda: is_quiet() and not self.gateway.inflight, deadline)
 
     async def _wait_until(self, condition: Callable[[], bool], deadline: float) -> None:
