--- a/egretford/bench/simulation.py
+++ b/egretford/bench/simulation.py
@@ -61,7 +61,6 @@
     blocks: list[Block]
     turn: int = 0
     waiting_agents: int = 0
-    last_worker: str = ""
 
 
 @define
@@ -74,8 +73,6 @@
     link_bytes: int = 0
     refused: int = 0
     late_refused: int = 0
-    completion_tokens: int = 0
-    calls: int = 0
     served_seconds: float = 0.0
 
 
@@ -295,9 +292,7 @@
 
     def _count(self, agent: Agent, request: BenchRequest, worker: str) -> None:
         totals = self.totals
-        totals.calls += 1
         totals.prompt_tokens += request.prompt_tokens
-        totals.completion_tokens += request.length
         if self.last_report - PROGRAM_SECONDS >= self.now >= self.warm_up:
             demand = measure_call(request.length, agent.turns[agent.turn].prompt_tokens)
             totals.served_seconds += demand
--- a/egretford/controllers/gateway.py
+++ b/egretford/controllers/gateway.py
@@ -73,7 +73,6 @@
     def __init__(self, context: Context, peers: Peers) -> None:
         self.node: Node | None = None
         self.inflight = 0
-        self.listing_pause = LISTING_SECONDS
         self._context = context
         self._peers = peers
         self._clock = context.clock
@@ -231,7 +230,7 @@
 
     async def _refresh_listing(self) -> None:
         now = self._clock.monotonic()
-        if now - self._listed_at < self.listing_pause:
+        if now - self._listed_at < LISTING_SECONDS:
             return
         self._listed_at = now
         try:
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -29,13 +29,18 @@
     return answer
 
 
-async def test_owner_killed_after_claim_leaves_the_call_in_doubt(deployment):
-    program = await deployment.open(entry=0)
-    await deployment.fault_services(kind="hang", count=1)
-    hanging = asyncio.create_task(deployment.book(program, 1, entry=0))
+async def _kill_during_booking(deployment, program, fault):
+    """Kill the owner a second after it sent a booking to a service with a fault."""
+    await deployment.fault_services(kind=fault, count=1)
+    booking = asyncio.create_task(deployment.book(program, 1, entry=0))
     await asyncio.sleep(1.0)
     deployment.kill_entry(0)
-    await asyncio.gather(hanging, return_exceptions=True)
+    await asyncio.gather(booking, return_exceptions=True)
+
+
+async def test_owner_killed_after_claim_leaves_the_call_in_doubt(deployment):
+    program = await deployment.open(entry=0)
+    await _kill_during_booking(deployment, program, "hang")
     answer = await _resend(deployment, program, 1, 1, deployment.book)
     assert (answer.body["verdict"], answer.body["error"]["kind"]) == (
         "may_have_run",
@@ -48,11 +53,7 @@
 
 async def test_owner_killed_after_effect_does_not_repeat_it(deployment):
     program = await deployment.open(entry=0)
-    await deployment.fault_services(kind="slow_reply", count=1)
-    booking = asyncio.create_task(deployment.book(program, 1, entry=0))
-    await asyncio.sleep(1.0)
-    deployment.kill_entry(0)
-    await asyncio.gather(booking, return_exceptions=True)
+    await _kill_during_booking(deployment, program, "slow_reply")
     answer = await _resend(deployment, program, 1, 1, deployment.book)
     assert answer.body["verdict"] == "may_have_run"
     assert await deployment.count_effects(program) == {"1": 1}
