--- /dev/null
+++ b/egretford/entry/forwarding.py
@@ -0,0 +1,335 @@
+"""Sends a request to workers, one after another while that is allowed, and passes the answer on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from attrs import Factory, define, field
+
+from egretford.clock import Clock
+from egretford.entry.events import EventError, EventSplitter, StreamEvent
+from egretford.entry.models import CallerRequest, Route, RouteKind, WorkerReply
+from egretford.entry.workers import TrackedWorker, WorkerTable
+from egretford.errors import (
+    ErrorKind,
+    RequestError,
+    UpstreamLostError,
+    UpstreamRefusedError,
+    Verdict,
+)
+from egretford.http.client import (
+    BodyEnd,
+    BodyPart,
+    BrokenResponseError,
+    ClientConnection,
+    ConnectError,
+    read_whole,
+)
+from egretford.http.messages import Headers
+from egretford.http.server import Responder
+from egretford.platform.wire import decode_reply, encode_request
+from egretford.policy.placement import Placement, PlacementRequest
+
+# A connection that may have gone silent is only reused for calls that may be sent again;
+# for others it must have been in use this lately.
+UNSAFE_MAX_IDLE_SECONDS = 0.5
+MAX_IDLE_SECONDS = 10.0
+# A repeatable call without an answer after this long is sent to another worker; the longest
+# of them takes some tens of milliseconds on an idle worker.
+SAFE_ATTEMPT_SECONDS = 0.3
+# A resumable stream that is silent for this long is resumed elsewhere; a pause beyond 0.3 s
+# is late already.
+STREAM_SILENCE_SECONDS = 0.6
+# Refusals by workers after which a request is refused rather than offered once more.
+MAX_REFUSALS = 4
+# A worker needs some time to answer; with less left a send would be no real offer.
+MIN_SECONDS_LEFT = 0.02
+MAX_ANSWER_BYTES = 8_388_608
+
+
+@define
+class Forwarding:
+    """One request on its way; `deadline` in monotonic seconds.
+
+    `before_end` is awaited when a stream is complete, before its end is passed on.
+    """
+
+    request: CallerRequest
+    route: Route
+    upstream: str
+    body: bytes = field(repr=False)
+    responder: Responder
+    deadline: float
+    before_end: Callable[[bytes], Awaitable[None]] | None = None
+    offers: int = 0
+    refusals: int = 0
+    may_have_run: bool = False
+    excluded: set[str] = Factory(set)
+    events: int = 0
+    last_event: int | None = None
+    output: list[bytes] = Factory(list)
+    worker: str = ""
+
+    @property
+    def verdict(self) -> Verdict:
+        """What may be said of the request if it ends without an answer now."""
+        return Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
+
+    def refuse(self, kind: ErrorKind, message: str) -> RequestError:
+        """Build an error with the verdict that holds."""
+        return RequestError(kind, message, verdict=self.verdict)
+
+
+class Forwarder:
+    """Chooses workers and passes answers on."""
+
+    def __init__(
+        self, workers: WorkerTable, placement: Placement, region: str, clock: Clock, log: Any
+    ) -> None:
+        self._workers = workers
+        self._placement = placement
+        self._region = region
+        self._clock = clock
+        self._log = log
+
+    async def run(self, job: Forwarding) -> None:
+        """Answer the caller with a worker's answer.
+
+        Raises RequestError, with the verdict that holds, when no worker's answer could be
+        passed on whole.
+        """
+        try:
+            async with asyncio.timeout(job.deadline - self._clock.monotonic()):
+                await self._run_attempts(job)
+        except TimeoutError:
+            raise job.refuse(ErrorKind.TIMEOUT, "no answer within the time that was left") from None
+
+    async def _run_attempts(self, job: Forwarding) -> None:
+        while True:
+            tracked = self._choose(job)
+            try:
+                await self._attempt(job, tracked)
+                return
+            except UpstreamRefusedError as error:
+                self._note_refusal(job, tracked, error)
+            except UpstreamLostError as error:
+                self._note_loss(job, tracked, error)
+
+    def _choose(self, job: Forwarding) -> TrackedWorker:
+        usable = self._workers.list_usable(job.upstream)
+        candidates = [t for t in usable if t.worker.id not in job.excluded]
+        if not candidates:
+            raise job.refuse(ErrorKind.OVERLOADED, f"no worker of {job.upstream} takes the request")
+        request = job.request
+        wanted = PlacementRequest(
+            program=request.program,
+            prompt_tokens=request.prompt_tokens,
+            cached={
+                t.worker.id: cached
+                for t in candidates
+                if (cached := t.cache.count_cached(request.prompt))
+            },
+            region=self._region,
+        )
+        chosen = min(
+            candidates, key=lambda t: self._placement.estimate_cost(t.state, wanted)
+        )
+        self._log.info(
+            "chose a worker",
+            request=request.id,
+            worker=chosen.worker.id,
+            candidates=len(candidates),
+            running=chosen.state.running,
+            cached=wanted.cached.get(chosen.worker.id, 0),
+            prompt=request.prompt_tokens,
+            load_age_s=round(self._clock.monotonic() - chosen.reported_at, 3),
+        )
+        return chosen
+
+    def _note_refusal(
+        self, job: Forwarding, tracked: TrackedWorker, error: UpstreamRefusedError
+    ) -> None:
+        job.refusals += 1
+        job.excluded.add(tracked.worker.id)
+        self._log.info(
+            "a worker did not take a request",
+            request=job.request.id,
+            worker=tracked.worker.id,
+            reason=str(error),
+        )
+        if job.refusals >= MAX_REFUSALS or job.responder.started:
+            raise job.refuse(ErrorKind.OVERLOADED, str(error)) from error
+
+    def _note_loss(
+        self, job: Forwarding, tracked: TrackedWorker, error: UpstreamLostError
+    ) -> None:
+        job.may_have_run = True
+        job.excluded.add(tracked.worker.id)
+        self._workers.note_failure(tracked, str(error))
+        self._log.info(
+            "an attempt was lost",
+            request=job.request.id,
+            worker=tracked.worker.id,
+            events=job.events,
+            reason=str(error),
+        )
+        left = job.deadline - self._clock.monotonic()
+        allowed = job.route.repeatable and job.offers < job.route.attempts
+        # A crashed worker does not count against the attempts that a route allows.
+        allowed = allowed or (job.route.resumable and error.crashed)
+        if not allowed or left < MIN_SECONDS_LEFT:
+            raise job.refuse(ErrorKind.UPSTREAM_FAILED, str(error)) from error
+
+    # One attempt
+
+    async def _attempt(self, job: Forwarding, tracked: TrackedWorker) -> None:
+        started = self._clock.monotonic()
+        tracked.state.granted += 1
+        try:
+            async with self._send(job, tracked) as connection:
+                reply = await self._read_reply(job, tracked, connection)
+                if job.route.kind is RouteKind.STREAMING and reply.succeeded:
+                    await self._pass_stream(job, tracked, connection, reply)
+                else:
+                    await self._pass_whole(job, connection, reply)
+        finally:
+            tracked.state.granted -= 1
+        tracked.note_success(self._clock.monotonic() - started)
+
+    @asynccontextmanager
+    async def _send(
+        self, job: Forwarding, tracked: TrackedWorker
+    ) -> AsyncIterator[ClientConnection]:
+        """Send the request; the connection is kept only if all went well."""
+        idle = MAX_IDLE_SECONDS if job.route.repeatable else UNSAFE_MAX_IDLE_SECONDS
+        try:
+            connection = await self._workers.connect(tracked, idle)
+        except ConnectError as error:
+            self._workers.note_failure(tracked, str(error))
+            raise UpstreamRefusedError(str(error)) from error
+        try:
+            left = job.deadline - self._clock.monotonic()
+            if left < MIN_SECONDS_LEFT:
+                raise job.refuse(ErrorKind.TIMEOUT, "no time is left to run the request")
+            resume_after = self._find_resume_point(job)
+            connection.send(encode_request(job.request, tracked.worker, left, job.body, resume_after))
+            job.offers += 1
+            job.worker = tracked.worker.id
+            tracked.cache.note_prompt(job.request.prompt)
+            yield connection
+        except BrokenResponseError as error:
+            connection.close()
+            raise UpstreamLostError(str(error), crashed=True) from error
+        except BaseException:
+            connection.close()
+            raise
+        self._workers.give_back(tracked, connection)
+
+    def _find_resume_point(self, job: Forwarding) -> str | None:
+        if job.last_event is not None:
+            return str(job.last_event)
+        return job.request.resume_after
+
+    async def _read_reply(
+        self, job: Forwarding, tracked: TrackedWorker, connection: ClientConnection
+    ) -> WorkerReply:
+        """Read the head of the response to this request, skipping those to earlier ones."""
+        try:
+            async with asyncio.timeout(self._limit_silence(job)):
+                while True:
+                    reply = decode_reply(await connection.read())
+                    if reply.request_id in (None, job.request.id):
+                        break
+                    self._log.info(
+                        "skipped a response to an earlier request",
+                        request=job.request.id,
+                        belongs_to=reply.request_id,
+                    )
+                    while not isinstance(await connection.read(), BodyEnd):
+                        pass
+        except TimeoutError as error:
+            raise UpstreamLostError("no response head in time", crashed=False) from error
+        if reply.load is not None:
+            tracked.note_load(reply.load, self._clock.monotonic())
+        connection.idle_limit = reply.idle_limit
+        if reply.proves_not_run:
+            if reply.worker_id not in (None, tracked.worker.id):
+                self._workers.note_misdirected(tracked)
+            raise UpstreamRefusedError(f"status {reply.status}")
+        job.may_have_run = True
+        self._check_success(job, reply)
+        return reply
+
+    def _limit_silence(self, job: Forwarding) -> float | None:
+        if job.route.repeatable and job.offers < job.route.attempts:
+            return SAFE_ATTEMPT_SECONDS
+        return None
+
+    def _check_success(self, job: Forwarding, reply: WorkerReply) -> None:
+        if not reply.succeeded:
+            if job.responder.started:
+                raise UpstreamLostError(f"status {reply.status} instead of the rest", crashed=False)
+            return
+        if reply.signature is None or reply.encoded or reply.request_id is None:
+            raise UpstreamLostError("a success that is not the worker's own", crashed=False)
+
+    async def _pass_whole(
+        self, job: Forwarding, connection: ClientConnection, reply: WorkerReply
+    ) -> None:
+        parts: list[bytes] = []
+        while not isinstance(event := await connection.read(), BodyEnd):
+            if isinstance(event, BodyPart):
+                parts.append(event.data)
+        failed_by_worker = reply.status >= 500
+        if failed_by_worker and job.route.repeatable and job.offers < job.route.attempts:
+            raise UpstreamLostError(f"status {reply.status}", crashed=False)
+        job.responder.send_whole(reply.status, Headers(list(reply.fields)), b"".join(parts))
+
+    async def _pass_stream(
+        self,
+        job: Forwarding,
+        tracked: TrackedWorker,
+        connection: ClientConnection,
+        reply: WorkerReply,
+    ) -> None:
+        splitter = EventSplitter()
+        while not isinstance(part := await self._read_part(job, connection), BodyEnd):
+            try:
+                events = splitter.feed(part.data)
+            except EventError as error:
+                raise UpstreamLostError(str(error), crashed=False) from error
+            for event in events:
+                await self._pass_event(job, reply, event)
+        if splitter.has_rest:
+            raise UpstreamLostError("the stream ended inside an event", crashed=True)
+        if job.before_end is not None:
+            await job.before_end(b"".join(job.output))
+        self._begin_stream(job, reply)
+        job.responder.finish_stream()
+
+    async def _read_part(
+        self, job: Forwarding, connection: ClientConnection
+    ) -> BodyPart | BodyEnd:
+        limit = STREAM_SILENCE_SECONDS if job.route.resumable else None
+        try:
+            async with asyncio.timeout(limit):
+                return await connection.read()
+        except TimeoutError as error:
+            raise UpstreamLostError("the stream went silent", crashed=True) from error
+
+    async def _pass_event(self, job: Forwarding, reply: WorkerReply, event: StreamEvent) -> None:
+        if event.number is not None and job.last_event is not None:
+            if event.number <= job.last_event:
+                raise UpstreamLostError("the stream repeats an event", crashed=False)
+        self._begin_stream(job, reply)
+        job.events += 1
+        job.last_event = event.number if event.number is not None else job.last_event
+        job.output.append(event.data + b"\n")
+        await job.responder.write(event.raw)
+
+    def _begin_stream(self, job: Forwarding, reply: WorkerReply) -> None:
+        if not job.responder.started:
+            job.responder.start_stream(reply.status, Headers(list(reply.fields)))
--- /dev/null
+++ b/egretford/http/client.py
@@ -0,0 +1,251 @@
+"""Client connections: one request at a time, and nothing trusted beyond the framing.
+
+A connection is reused only if its response was complete, allowed it, and left no byte over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+
+import httptools
+from attrs import frozen
+
+from egretford.errors import EgretfordError
+from egretford.http.messages import Headers, ResponseHead
+
+# Unacknowledged data closes a connection to a peer behind a partition after this long.
+TCP_USER_TIMEOUT_MILLISECONDS = 3_000
+# Unread response bytes at which reading from the socket pauses.
+HIGH_WATER_BYTES = 262_144
+# A response head beyond this is not a response; workers send some hundred bytes.
+MAX_HEAD_BYTES = 65_536
+
+
+class ConnectError(EgretfordError):
+    """No connection could be opened; nothing was sent."""
+
+
+class BrokenResponseError(EgretfordError):
+    """The connection ended, or sent what is no response, before the response was complete."""
+
+    def __init__(self, message: str, *, received: bool) -> None:
+        super().__init__(message)
+        self.received = received
+
+
+@frozen
+class BodyPart:
+    """Some bytes of a response body."""
+
+    data: bytes
+
+
+@frozen
+class BodyEnd:
+    """The end of a complete response."""
+
+
+ResponseEvent = ResponseHead | BodyPart | BodyEnd
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.reusable = True
+        self.responses = 0
+        self.idle_since = 0.0
+        self.idle_limit: float | None = None
+        self._transport: asyncio.Transport | None = None
+        self._events: deque[ResponseEvent] = deque()
+        self._buffered = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self._failure: str | None = None
+        self._received = False
+        self._expecting = False
+        self._closed = False
+        self._begin_parsing()
+
+    @classmethod
+    async def open(cls, address: str, timeout: float) -> ClientConnection:
+        """Connect to `address` (IP:PORT) within `timeout` seconds; raises ConnectError."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout):
+                _, connection = await loop.create_connection(lambda: cls(address), host, int(port))
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            raise ConnectError(f"{address}: {error!r}") from error
+        return connection
+
+    def send(self, data: bytes) -> None:
+        """Send a whole request; its response may be read from then on."""
+        self._expecting = True
+        self._received = False
+        self._transport.write(data)
+
+    async def read(self) -> ResponseEvent:
+        """Return the next event of the response; raises BrokenResponseError."""
+        while not self._events:
+            if self._failure is not None:
+                raise BrokenResponseError(
+                    f"{self.address}: {self._failure}", received=self._received
+                )
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        event = self._events.popleft()
+        if isinstance(event, BodyPart):
+            self._buffered -= len(event.data)
+            if self._buffered < HIGH_WATER_BYTES and not self._closed:
+                self._transport.resume_reading()
+        elif isinstance(event, BodyEnd):
+            self.responses += 1
+        return event
+
+    def finish(self, now: float) -> None:
+        """Note that the response to the last request was read to its end."""
+        self._expecting = False
+        self.idle_since = now
+        if self._events:
+            self.reusable = False
+
+    def is_usable(self, now: float) -> bool:
+        """Whether another request may be sent on this connection."""
+        if not self.reusable or self._closed or self._failure is not None or self._events:
+            return False
+        return self.idle_limit is None or now - self.idle_since < self.idle_limit
+
+    def close(self) -> None:
+        """Close at once, dropping what is not sent yet."""
+        self.reusable = False
+        if self._transport is not None and not self._closed:
+            self._closed = True
+            self._transport.abort()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Set socket options."""
+        self._transport = transport
+        set_socket_options(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; bytes that belong to no request make the connection unusable."""
+        if self._failure is not None:
+            return
+        if not self._expecting:
+            self.reusable = False
+            self._fail("bytes that belong to no request")
+            self.close()
+            return
+        self._received = True
+        self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.reusable = False
+            self._fail(f"malformed response: {error}")
+            return
+        if not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
+            self._fail("the response head is too large")
+        if self._buffered > HIGH_WATER_BYTES:
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool | None:
+        """End a response without a length, or note that one was cut."""
+        if self._in_body and self._until_close:
+            self._events.append(BodyEnd())
+            self._in_body = False
+        self.reusable = False
+        self._fail("the connection was closed")
+        return None
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note the end of the connection."""
+        self._closed = True
+        self._fail("the connection was closed" if error is None else repr(error))
+
+    # httptools callbacks
+
+    def _begin_parsing(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = Headers()
+        self._in_body = False
+        self._until_close = False
+        self._head_bytes = 0
+
+    def on_message_begin(self) -> None:
+        """Start a response."""
+        self._headers = Headers()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field."""
+        self._headers.add(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Emit the head."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        headers = self._headers
+        chunked = b"chunked" in headers.list_tokens(b"transfer-encoding")
+        empty = status in (204, 304)
+        self._until_close = not (chunked or empty or headers.get(b"content-length") is not None)
+        self._in_body = True
+        if self._until_close or not self._parser.should_keep_alive():
+            self.reusable = False
+        self._events.append(ResponseHead(status, headers))
+
+    def on_body(self, data: bytes) -> None:
+        """Emit a part of the body."""
+        self._buffered += len(data)
+        self._events.append(BodyPart(bytes(data)))
+
+    def on_message_complete(self) -> None:
+        """Emit the end, unless the message was only informational."""
+        if self._parser.get_status_code() < 200:
+            return
+        self._in_body = False
+        self._head_bytes = 0
+        self._events.append(BodyEnd())
+
+    def _fail(self, reason: str) -> None:
+        if self._failure is None:
+            self._failure = reason
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def set_socket_options(transport: asyncio.Transport) -> None:
+    """Send small writes at once, and give up on peers that acknowledge nothing."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLISECONDS)
+
+
+async def read_whole(connection: ClientConnection, limit: int) -> tuple[ResponseHead, bytes]:
+    """Read one response of at most `limit` body bytes; raises BrokenResponseError."""
+    head = await connection.read()
+    parts: list[bytes] = []
+    size = 0
+    while not isinstance(event := await connection.read(), BodyEnd):
+        if isinstance(event, BodyPart):
+            size += len(event.data)
+            if size > limit:
+                raise BrokenResponseError(
+                    f"{connection.address}: the body exceeds {limit} bytes", received=True
+                )
+            parts.append(event.data)
+    return head, b"".join(parts)
--- /dev/null
+++ b/egretford/http/server.py
@@ -0,0 +1,402 @@
+"""The server side: connections that read whole requests and answer them in order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import httptools
+from attrs import define
+
+from egretford.clock import Clock
+from egretford.http.client import set_socket_options
+from egretford.http.messages import (
+    LAST_CHUNK,
+    Headers,
+    HttpRequest,
+    encode_chunk,
+    encode_head,
+    encode_status_line,
+)
+
+# Connections waiting to be accepted; a full queue costs callers seconds.
+BACKLOG = 1_024
+# Requests that one connection may send ahead of their answers.
+MAX_PIPELINED = 16
+
+
+@define
+class RequestLimits:
+    """What a caller may send, and how long it may take; sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+Handler = Callable[[HttpRequest, "Responder"], Awaitable[None]]
+
+
+class CallerGoneError(ConnectionError):
+    """The caller closed its connection."""
+
+
+class Responder:
+    """Writes one answer on a caller's connection."""
+
+    def __init__(self, connection: _ServerConnection, keep_alive: bool) -> None:
+        self._connection = connection
+        self._keep_alive = keep_alive
+        self.started = False
+        self.finished = False
+
+    @property
+    def gone(self) -> bool:
+        """Whether the caller closed its connection."""
+        return self._connection.closed
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._connection_fields()]
+        self.started = True
+        self._connection.write(encode_head(encode_status_line(status), fields) + body)
+        self._end()
+
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Send the head of a streamed answer."""
+        fields = [*headers, (b"Transfer-Encoding", b"chunked"), *self._connection_fields()]
+        self.started = True
+        self._connection.write(encode_head(encode_status_line(status), fields))
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of a streamed answer; waits while the caller does not read."""
+        if self._connection.closed:
+            raise CallerGoneError("the caller closed its connection")
+        self._connection.write(encode_chunk(data))
+        await self._connection.drain()
+
+    def finish_stream(self) -> None:
+        """End a streamed answer as complete."""
+        self._connection.write(LAST_CHUNK)
+        self._end()
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer cannot look complete."""
+        self.finished = True
+        self._connection.abort()
+
+    def _connection_fields(self) -> list[tuple[bytes, bytes]]:
+        if not self._keep_alive or self._connection.closing:
+            self._keep_alive = False
+            return [(b"Connection", b"close")]
+        return []
+
+    def _end(self) -> None:
+        self.finished = True
+        if not self._keep_alive:
+            self._connection.close_after_answer = True
+
+
+class HttpServer:
+    """Listens and hands whole requests to a handler."""
+
+    def __init__(
+        self, handle: Handler, limits: RequestLimits, clock: Clock, log: Any, *, name: str
+    ) -> None:
+        self.handle = handle
+        self.limits = limits
+        self.clock = clock
+        self.log = log
+        self.name = name
+        self.draining = False
+        self.connections: set[_ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def active(self) -> int:
+        """Requests that are being read or answered."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    @property
+    def port(self) -> int:
+        """The port listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self, address: str) -> None:
+        """Listen on `address` (IP:PORT)."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _ServerConnection(self), host, int(port), backlog=BACKLOG, reuse_address=True
+        )
+
+    def close_idle(self) -> None:
+        """Close connections on which nothing was asked."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+
+class _ServerConnection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: deque[HttpRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._paused = False
+        self._refused = False
+        self.closed = False
+        self.close_after_answer = False
+        self.peer = ""
+        self._reset_request()
+
+    @property
+    def closing(self) -> bool:
+        """Whether answers should tell the caller not to reuse the connection."""
+        return self._server.draining
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return self._task is not None or self._reading or bool(self._requests)
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start the timer for the first request."""
+        self._transport = transport
+        self.peer = str((transport.get_extra_info("peername") or ("",))[0])
+        set_socket_options(transport)
+        self._server.connections.add(self)
+        self._set_timer(self._server.limits.idle_timeout, self._end_idle)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel what the caller no longer waits for."""
+        self.closed = True
+        self._server.connections.discard(self)
+        self._cancel_timer()
+        self._resume_writer()
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; refuse what breaks the protocol or the limits."""
+        if self._refused:
+            return
+        if not self._reading and not self._requests and self._task is None:
+            self._begin_reading()
+        if not self._head_done:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "protocol upgrades are not supported")
+        except httptools.HttpParserError as error:
+            self._refuse(400, f"malformed request: {error}")
+        if not self._head_done and self._head_bytes > self._server.limits.header_bytes:
+            self._refuse(431, f"the header exceeds {self._server.limits.header_bytes} bytes")
+
+    def pause_writing(self) -> None:
+        """Make writers wait."""
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self._paused = False
+        self._resume_writer()
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset_request()
+        self._begin_reading()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field."""
+        self._headers.add(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Check the announced size."""
+        self._head_done = True
+        headers = self._headers
+        lengths = headers.list_all(b"content-length")
+        if lengths and headers.get(b"transfer-encoding") is not None:
+            self._refuse(400, "both Content-Length and Transfer-Encoding are set")
+        elif len(lengths) > 1 or len(headers.list_all(b"host")) != 1:
+            self._refuse(400, "Host and Content-Length may occur once only")
+        elif lengths and int(lengths[0]) > self._server.limits.body_bytes:
+            self._refuse(413, f"the body exceeds {self._server.limits.body_bytes} bytes")
+        elif b"100-continue" in headers.list_tokens(b"expect"):
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._body_size += len(data)
+        if self._body_size > self._server.limits.body_bytes:
+            self._refuse(413, f"the body exceeds {self._server.limits.body_bytes} bytes")
+            return
+        self._body.append(bytes(data))
+
+    def on_message_complete(self) -> None:
+        """Queue the request."""
+        if self._refused:
+            return
+        self._requests.append(
+            HttpRequest(
+                self._parser.get_method(),
+                bytes(self._target),
+                self._headers,
+                b"".join(self._body),
+                self._parser.should_keep_alive(),
+                self._server.clock.monotonic(),
+                self.peer,
+            )
+        )
+        self._reading = False
+        self._reset_request()
+        self._cancel_timer()
+        if len(self._requests) > MAX_PIPELINED:
+            self._refuse(400, f"over {MAX_PIPELINED} requests were sent ahead")
+        elif self._task is None:
+            self._serve_next()
+
+    # Serving
+
+    def _serve_next(self) -> None:
+        if self._requests and not self.closed:
+            request = self._requests.popleft()
+            self._task = asyncio.get_running_loop().create_task(self._serve(request))
+        elif not self._reading and not self.closed:
+            self._set_timer(self._server.limits.idle_timeout, self._end_idle)
+
+    async def _serve(self, request: HttpRequest) -> None:
+        responder = Responder(self, request.keep_alive)
+        try:
+            await self._server.handle(request, responder)
+        except CallerGoneError:
+            self._server.log.info("the caller left during the answer", peer=self.peer)
+        except asyncio.CancelledError:
+            if not self.closed:
+                raise
+        except Exception as error:
+            self._server.log.error("the handler of a request failed", error=repr(error))
+            self._answer_failure(responder)
+        finally:
+            self._task = None
+        if not responder.finished:
+            self.abort()
+        elif self.close_after_answer:
+            self.close()
+        else:
+            self._serve_next()
+
+    def _answer_failure(self, responder: Responder) -> None:
+        if responder.started:
+            responder.abort()
+        else:
+            # The request may have reached a worker, so nothing is promised.
+            responder.send_whole(500, Headers(), b"internal error\n")
+
+    def _refuse(self, status: int, reason: str) -> None:
+        if self._refused:
+            return
+        self._refused = True
+        self._reading = False
+        self._server.log.info("refused a request", status=status, reason=reason, peer=self.peer)
+        if self._task is None and not self.closed:
+            self._send_refusal(status, reason)
+        else:
+            self.close_after_answer = True
+
+    def _send_refusal(self, status: int, reason: str) -> None:
+        body = reason.encode() + b"\n"
+        fields = [
+            (b"Content-Type", b"text/plain"),
+            (b"Content-Length", b"%d" % len(body)),
+            (b"Connection", b"close"),
+        ]
+        self.write(encode_head(encode_status_line(status), fields) + body)
+        self.close()
+
+    # Timers and writing
+
+    def _reset_request(self) -> None:
+        self._target = bytearray()
+        self._headers = Headers()
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._head_bytes = 0
+        self._head_done = False
+        self._reading = False
+
+    def _begin_reading(self) -> None:
+        if not self._reading:
+            self._reading = True
+            self._set_timer(self._server.limits.header_timeout, self._end_slow)
+
+    def _set_timer(self, seconds: float, action: Callable[[], None]) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(seconds, action)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _end_idle(self) -> None:
+        if not self.is_busy:
+            self.close()
+
+    def _end_slow(self) -> None:
+        limits = self._server.limits
+        if self._head_done:
+            self._set_timer(limits.idle_timeout, lambda: self._refuse(408, "the body is late"))
+        else:
+            self._refuse(408, f"the header took over {limits.header_timeout} s")
+
+    def write(self, data: bytes) -> None:
+        """Write, unless the caller is gone."""
+        if not self.closed:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait while the caller does not read."""
+        while self._paused and not self.closed:
+            self._writable = asyncio.get_running_loop().create_future()
+            await self._writable
+        if self.closed:
+            raise CallerGoneError("the caller closed its connection")
+
+    def _resume_writer(self) -> None:
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+
+    def close(self) -> None:
+        """Close once all is written."""
+        if not self.closed:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if not self.closed:
+            self._transport.abort()
--- a/egretford/logs.py
+++ b/egretford/logs.py
@@ -21,7 +21,7 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level)),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
         cache_logger_on_first_use=True,
     )
 
--- /dev/null
+++ b/egretford/platform/store.py
@@ -0,0 +1,231 @@
+"""A client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+from urllib.parse import quote
+
+import orjson
+from attrs import frozen
+
+from egretford.clock import Clock
+from egretford.errors import (
+    ObjectMissingError,
+    PlatformError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from egretford.http.client import (
+    BrokenResponseError,
+    ClientConnection,
+    ConnectError,
+    read_whole,
+)
+from egretford.http.messages import encode_head
+
+# An answer takes some milliseconds; a store slowed by disruption takes some hundred.
+CALL_SECONDS = 1.5
+CONNECT_SECONDS = 0.5
+# How much later than asked a waiting watch may answer before its connection counts as silent.
+WATCH_GRACE_SECONDS = 1.0
+MAX_IDLE_CONNECTIONS = 4
+IDLE_SECONDS = 10.0
+# The store answers about 1 MB a page, and a little over for its envelope.
+MAX_ANSWER_BYTES = 4_000_000
+
+
+class HistoryGoneError(PlatformError):
+    """The store no longer has the history that a watch asked for; list again."""
+
+
+@frozen
+class StoreObject:
+    """An object; `revision` is that of its last change."""
+
+    name: str
+    revision: int
+    content: Any
+    status: Any
+
+
+@frozen
+class Listing:
+    """All objects of a kind; `revision` is the store's, to watch from."""
+
+    objects: dict[str, StoreObject]
+    revision: int
+
+
+@frozen
+class ObjectChange:
+    """One event of a watch."""
+
+    object: StoreObject
+    removed: bool
+
+
+@frozen
+class WatchAnswer:
+    """What a watch brought, and the revision to go on from."""
+
+    changes: list[ObjectChange]
+    revision: int
+
+
+class MetadataStore:
+    """Objects by kind and name, with conditional updates and watches.
+
+    Every method raises StoreUnavailableError when no usable answer came; a write may then
+    have taken effect, or may still take effect while its condition holds.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._address = address
+        self._clock = clock
+        self._idle: list[ClientConnection] = []
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    async def list_all(self, kind: str) -> Listing:
+        """Read all objects of a kind, page by page."""
+        objects: dict[str, StoreObject] = {}
+        revision: int | None = None
+        after = ""
+        while True:
+            query = f"?after={quote(after, safe='')}" if after else ""
+            page = await self._call("GET", _kind_path(kind) + query)
+            # A watch from the first page's revision sees what changed while paging.
+            revision = page["store_revision"] if revision is None else revision
+            for item in page["items"]:
+                found = _decode_object(item)
+                if found is not None:
+                    objects[found.name] = found
+            if not page.get("more_pages") or not page["items"]:
+                return Listing(objects, revision)
+            after = page["items"][-1]["metadata"]["name"]
+
+    async def get(self, kind: str, name: str) -> StoreObject:
+        """Read one object; raises ObjectMissingError."""
+        return _require_object(await self._call("GET", _object_path(kind, name)))
+
+    async def create(self, kind: str, name: str, content: Any) -> StoreObject:
+        """Create an object; raises VersionConflictError if it exists."""
+        body = {"metadata": {"name": name}, "spec": content}
+        return _require_object(await self._call("POST", _kind_path(kind), body))
+
+    async def replace(self, kind: str, name: str, content: Any, revision: int) -> StoreObject:
+        """Replace an object that has `revision`; raises VersionConflictError."""
+        body = {"metadata": {"name": name, "revision": revision}, "spec": content}
+        return _require_object(await self._call("PUT", _object_path(kind, name), body))
+
+    async def replace_status(
+        self, kind: str, name: str, status: Any, revision: int
+    ) -> StoreObject:
+        """Replace the status of an object that has `revision`; raises VersionConflictError."""
+        body = {"metadata": {"name": name, "revision": revision}, "status": status}
+        path = _object_path(kind, name) + "/status"
+        return _require_object(await self._call("PUT", path, body))
+
+    async def watch(self, kind: str, revision: int, seconds: float) -> WatchAnswer:
+        """Wait up to `seconds` for changes after `revision`; raises HistoryGoneError."""
+        path = f"{_kind_path(kind)}?watch={revision}&wait_ms={int(seconds * 1_000)}"
+        answer = await self._call("GET", path, limit=seconds + WATCH_GRACE_SECONDS)
+        changes = []
+        for event in answer["events"]:
+            found = _decode_object(event.get("object"))
+            if found is not None:
+                changes.append(ObjectChange(found, bool(event.get("removed"))))
+        return WatchAnswer(changes, answer["store_revision"])
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, limit: float = CALL_SECONDS
+    ) -> Any:
+        data = b"" if body is None else orjson.dumps(body)
+        fields = [(b"Host", self._address.encode())]
+        if data:
+            fields.append((b"Content-Type", b"application/json"))
+        if data or method != "GET":
+            fields.append((b"Content-Length", b"%d" % len(data)))
+        head = encode_head(f"{method} {path} HTTP/1.1".encode(), fields)
+        try:
+            async with asyncio.timeout(limit), self._borrow() as connection:
+                connection.send(head + data)
+                response, content = await read_whole(connection, MAX_ANSWER_BYTES)
+        except (TimeoutError, ConnectError, BrokenResponseError) as error:
+            raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
+        return _check_answer(response.status, f"{method} {path}", content)
+
+    @asynccontextmanager
+    async def _borrow(self) -> AsyncIterator[ClientConnection]:
+        connection = self._take_idle()
+        if connection is None:
+            connection = await ClientConnection.open(self._address, CONNECT_SECONDS)
+        try:
+            yield connection
+        except BaseException:
+            connection.close()
+            raise
+        connection.finish(self._clock.monotonic())
+        if connection.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def _take_idle(self) -> ClientConnection | None:
+        now = self._clock.monotonic()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable(now) and now - connection.idle_since < IDLE_SECONDS:
+                return connection
+            connection.close()
+        return None
+
+
+def _kind_path(kind: str) -> str:
+    return "/v1/objects/" + quote(kind, safe="")
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f"{_kind_path(kind)}/{quote(name, safe='')}"
+
+
+def _decode_object(item: Any) -> StoreObject | None:
+    """Decode an object, or None where another writer left what is not one."""
+    if not isinstance(item, dict) or not isinstance(item.get("metadata"), dict):
+        return None
+    metadata = item["metadata"]
+    name, revision = metadata.get("name"), metadata.get("revision")
+    if not isinstance(name, str) or type(revision) is not int:
+        return None
+    return StoreObject(name, revision, item.get("spec"), item.get("status"))
+
+
+def _require_object(item: Any) -> StoreObject:
+    found = _decode_object(item)
+    if found is None:
+        raise StoreUnavailableError(f"the store answered what is no object: {item!r:.200}")
+    return found
+
+
+def _check_answer(status: int, call: str, content: bytes) -> Any:
+    match status:
+        case 200 | 201:
+            try:
+                return orjson.loads(content)
+            except orjson.JSONDecodeError as error:
+                raise StoreUnavailableError(f"{call}: unreadable answer") from error
+        case 404:
+            raise ObjectMissingError(call)
+        case 409:
+            raise VersionConflictError(call)
+        case 410:
+            raise HistoryGoneError(call)
+        case _:
+            raise StoreUnavailableError(f"{call}: status {status}: {content[:200]!r}")
--- /dev/null
+++ b/egretford/platform/wire.py
@@ -0,0 +1,188 @@
+"""Header fields of callers' requests and workers' responses, to and from the project's types."""
+
+from __future__ import annotations
+
+import re
+
+from egretford.entry.models import (
+    CallerRequest,
+    PromptPart,
+    Worker,
+    WorkerLoad,
+    WorkerReply,
+)
+from egretford.errors import ErrorKind, RequestError
+from egretford.http.messages import (
+    Headers,
+    HttpRequest,
+    ResponseHead,
+    encode_head,
+    strip_connection_fields,
+)
+
+REQUEST_ID = b"Request-Id"
+DEADLINE_MS = b"Deadline-Ms"  # how long the caller waits, not a point in time
+EXPECT_WORKER = b"Expect-Instance"  # the id of a worker, not of a machine
+NOT_EXECUTED = b"Not-Executed"
+SIGNATURE = b"Response-Signature"
+LOAD = b"Server-Load"
+WORKER_ID = b"Instance-Id"  # the id of a worker, not of a machine
+RETRY_AFTER = b"Retry-After"
+PROGRAM = b"Program-Id"
+SESSION = b"Session-Id"  # one line of turns; a program may have several
+FINISH_MS = b"Finish-Ms"
+TOKEN_BUDGET = b"Token-Budget"
+TOKEN_USAGE = b"Token-Usage"  # prompt tokens, and the most that may be generated
+PROMPT_PARTS = b"Prompt-Prefix"  # the whole prompt by parts, not only what is shared
+PREVIOUS_TURN = b"Previous-Turn"  # the request id of that turn
+LAST_EVENT_ID = b"Last-Event-Id"
+
+# Fields that only the system itself may set towards workers.
+RESERVED = frozenset(
+    name.lower()
+    for name in (
+        EXPECT_WORKER,
+        b"Expect-Version",
+        b"Pin-Ms",
+        b"Kv-Hold",
+        b"Kv-Backup",
+        b"Kv-From",
+        b"Kv-Fetch",
+    )
+)
+# Statuses by which a worker says that it has not run the request.
+MISDIRECTED = 421
+_KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)")
+_MAX_DIGITS = 15
+
+
+def decode_request(http: HttpRequest) -> CallerRequest:
+    """Decode a caller's request; raises RequestError if a field cannot be read."""
+    headers = http.headers
+    prompt_tokens, max_output = _read_usage(headers)
+    return CallerRequest(
+        id=headers.get_text(REQUEST_ID) or "",
+        host=_read_host(headers),
+        path=http.path.decode("latin-1"),
+        http=http,
+        time_budget=_read_seconds(headers, DEADLINE_MS),
+        program=headers.get_text(PROGRAM) or "",
+        session=headers.get_text(SESSION) or "",
+        finish_within=_read_seconds(headers, FINISH_MS),
+        token_budget=_read_number(headers, TOKEN_BUDGET),
+        prompt_tokens=prompt_tokens,
+        max_output_tokens=max_output,
+        prompt=_read_prompt(headers),
+        previous_turn=headers.get_text(PREVIOUS_TURN) or None,
+        resume_after=headers.get_text(LAST_EVENT_ID) or None,
+    )
+
+
+def encode_request(
+    request: CallerRequest,
+    worker: Worker,
+    seconds_left: float,
+    body: bytes,
+    resume_after: str | None,
+) -> bytes:
+    """Return the bytes that ask `worker` to run the request within `seconds_left`."""
+    fields = strip_connection_fields(request.http.headers).drop(
+        {*RESERVED, DEADLINE_MS.lower(), LAST_EVENT_ID.lower()}
+    )
+    fields.add(DEADLINE_MS, b"%d" % max(1, int(seconds_left * 1_000)))
+    fields.add(EXPECT_WORKER, worker.id.encode("latin-1"))
+    if resume_after is not None:
+        fields.add(LAST_EVENT_ID, resume_after.encode("latin-1"))
+    if body or request.http.method not in (b"GET", b"HEAD"):
+        fields.add(b"Content-Length", b"%d" % len(body))
+    line = b"%s %s HTTP/1.1" % (request.http.method, request.http.target)
+    return encode_head(line, fields) + body
+
+
+def decode_reply(head: ResponseHead) -> WorkerReply:
+    """Decode the head of a worker's response; fields that cannot be read count as absent."""
+    headers = head.headers
+    return WorkerReply(
+        status=head.status,
+        request_id=headers.get_text(REQUEST_ID),
+        proves_not_run=headers.get(NOT_EXECUTED) is not None or head.status == MISDIRECTED,
+        signature=headers.get(SIGNATURE),
+        load=_read_load(headers),
+        worker_id=headers.get_text(WORKER_ID),
+        idle_limit=_read_idle_limit(headers),
+        encoded=headers.get(b"Content-Encoding") is not None,
+        fields=tuple(strip_connection_fields(headers)),
+    )
+
+
+def encode_refusal_fields(
+    request_id: str, retry_after: float | None
+) -> list[tuple[bytes, bytes]]:
+    """Return the fields of an answer that is the entry's own."""
+    fields = [(b"Content-Type", b"text/plain")]
+    if request_id:
+        fields.append((REQUEST_ID, request_id.encode("latin-1")))
+    if retry_after is not None:
+        fields.append((RETRY_AFTER, b"%.3f" % retry_after))
+    return fields
+
+
+def _read_host(headers: Headers) -> str:
+    host = headers.get_text(b"Host") or ""
+    return host.partition(":")[0].lower()
+
+
+def _read_number(headers: Headers, name: bytes) -> int | None:
+    text = headers.get_text(name)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > _MAX_DIGITS:
+        raise _malformed(name, "a whole number")
+    return int(text)
+
+
+def _read_seconds(headers: Headers, name: bytes) -> float | None:
+    milliseconds = _read_number(headers, name)
+    return None if milliseconds is None else milliseconds / 1_000
+
+
+def _read_usage(headers: Headers) -> tuple[int, int]:
+    text = headers.get_text(TOKEN_USAGE)
+    if text is None:
+        return 0, 0
+    prompt, _, output = text.partition(",")
+    if not (prompt.strip().isdigit() and output.strip().isdigit()) or len(text) > 2 * _MAX_DIGITS:
+        raise _malformed(TOKEN_USAGE, "two whole numbers with a comma")
+    return int(prompt), int(output)
+
+
+def _read_prompt(headers: Headers) -> tuple[PromptPart, ...]:
+    text = headers.get_text(PROMPT_PARTS)
+    if not text:
+        return ()
+    parts = []
+    for item in text.split(","):
+        part, _, tokens = item.strip().partition(":")
+        if not part or not tokens.isdigit() or len(tokens) > _MAX_DIGITS:
+            raise _malformed(PROMPT_PARTS, "ID:TOKENS entries with commas")
+        parts.append(PromptPart(part, int(tokens)))
+    return tuple(parts)
+
+
+def _malformed(name: bytes, expected: str) -> RequestError:
+    return RequestError(ErrorKind.BAD_REQUEST, f"{name.decode()} must be {expected}")
+
+
+def _read_load(headers: Headers) -> WorkerLoad | None:
+    text = headers.get_text(LOAD)
+    if text is None:
+        return None
+    numbers = [item.strip() for item in text.split(",")]
+    if len(numbers) != 3 or not all(n.isdigit() and len(n) < _MAX_DIGITS for n in numbers):
+        return None
+    return WorkerLoad(*(int(number) for number in numbers))
+
+
+def _read_idle_limit(headers: Headers) -> float | None:
+    found = _KEEP_ALIVE.search(headers.get(b"Keep-Alive") or b"")
+    return None if found is None else float(found.group(1))
--- a/egretford/policy/placement.py
+++ b/egretford/policy/placement.py
@@ -98,6 +98,7 @@
 
     regions: Mapping[str, str]
     link: Link = Link()
+    prefill_tokens_per_second: float = PREFILL_TOKENS_PER_SECOND
 
     def region_of(self, worker: Worker) -> str:
         """Return the region of a worker's failure domain."""
@@ -113,7 +114,7 @@
         if request.cached and state.worker.name not in request.cached:
             delayed += MOVE_WEIGHT
         evicted = state.measure_overflow(request.program, request.prompt_tokens)
-        cost += delayed * (uncached + evicted) / PREFILL_TOKENS_PER_SECOND
+        cost += delayed * (uncached + evicted) / self.prefill_tokens_per_second
         if self.region_of(state.worker) != request.region:
             cost += self._estimate_transfer(request.prompt_tokens)
         return cost
--- /dev/null
+++ b/egretford/policy/prefixes.py
@@ -0,0 +1,48 @@
+"""A model of which prompt parts a worker keeps in memory."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import Protocol
+
+from attrs import define, field
+
+
+class Part(Protocol):
+    """A part of a prompt."""
+
+    id: str
+    tokens: int
+
+
+@define
+class PrefixCache:
+    """The parts that one worker was sent, the least recently used first to go."""
+
+    capacity: int
+    _parts: OrderedDict[str, int] = field(init=False, factory=OrderedDict)
+    _total: int = field(init=False, default=0)
+
+    def count_cached(self, prompt: Sequence[Part]) -> int:
+        """Return the tokens at the start of the prompt that need no prefill here."""
+        cached = 0
+        for part in prompt:
+            if part.id not in self._parts:
+                break
+            cached += part.tokens
+        return cached
+
+    def note_prompt(self, prompt: Sequence[Part]) -> None:
+        """Note that the worker read a prompt."""
+        for part in prompt:
+            self._total += part.tokens - self._parts.pop(part.id, 0)
+            self._parts[part.id] = part.tokens
+        while self._total > self.capacity and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._total -= tokens
+
+    def clear(self) -> None:
+        """Forget everything, as a restart does."""
+        self._parts.clear()
+        self._total = 0
