Keep turns and token budgets on keepers, agreed on by quorums under a view

Change: keepers on the storage instances: synced log, quorum of tolerated losses + 1 and a majority, views by conditional update of one object, copying between keepers, evacuation.

--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -10,13 +10,17 @@
 from egretford.controllers.loops import TaskGroup
 from egretford.entry.forwarding import Forwarder
 from egretford.entry.gateway import Gateway
+from egretford.entry.keepers import KeeperGroup
 from egretford.entry.turns import Turns
 from egretford.entry.workers import WorkerTable
 from egretford.http.messages import Headers, HttpRequest
 from egretford.http.server import HttpServer, RequestLimits, Responder
 from egretford.instance import InstanceSettings
+from egretford.keeper.messages import KeeperReply, KeeperRequest
 from egretford.logs import make_logger
 from egretford.metrics import Metrics
+from egretford.peer.sockets import PeerClient
+from egretford.platform.agreements import StoredView
 from egretford.platform.feeds import StoreHealth, build_configuration_feed, build_worker_feed
 from egretford.platform.store import MetadataStore
 from egretford.policy.placement import Placement
@@ -43,7 +47,17 @@
         self._store = MetadataStore(settings.store_address, clock)
         self._health = StoreHealth(clock, self._make_logger("store"))
         self.workers = WorkerTable(clock, self._make_logger("workers"))
-        self._turns = Turns()
+        self._peers = PeerClient(KeeperRequest, KeeperReply)
+        self._keepers = KeeperGroup(
+            self._peers,
+            StoredView(self._store).read,
+            settings.tolerated_losses,
+            settings.failure_domain,
+            settings.regions,
+            clock,
+            self._make_logger("keepers"),
+        )
+        self._turns = Turns(self._keepers, clock, self._make_logger("turns"))
         placement = Placement(
             settings.regions, prefill_tokens_per_second=ENGINE_PREFILL_TOKENS_PER_SECOND
         )
@@ -77,8 +91,10 @@
     @property
     def is_ready(self) -> bool:
         """Whether new callers may be sent here."""
-        known = self.gateway.configuration_version is not None and self.workers.listed_at
-        return bool(known) and not self._leaving
+        knows_routes = self.gateway.configuration_version is not None
+        knows_workers = self.workers.listed_at is not None
+        knows_keepers = self._keepers.view.number > 0
+        return knows_routes and knows_workers and knows_keepers and not self._leaving
 
     async def start(self) -> None:
         """Listen and follow the store."""
@@ -87,6 +103,7 @@
         await self._readiness.start(settings.readiness_address)
         for feed in self._feeds:
             await feed.start()
+        await self._keepers.start()
         self._log.info("started", domain=settings.failure_domain, first=settings.first_start)
 
     async def drain(self) -> None:
@@ -113,6 +130,8 @@
         await self._callers.close()
         await self._readiness.close()
         self.workers.close()
+        await self._keepers.close()
+        await self._peers.close()
         await self._store.close()
         await self._tasks.close()
 
--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -63,7 +63,7 @@
     body: bytes = field(repr=False)
     responder: Responder
     deadline: float
-    before_end: Callable[[bytes], Awaitable[None]] | None = None
+    before_end: Callable[[], Awaitable[None]] | None = None
     offers: int = 0
     refusals: int = 0
     may_have_run: bool = False
@@ -306,7 +306,7 @@
         if splitter.has_rest:
             raise UpstreamLostError("the stream ended inside an event", crashed=True)
         if job.before_end is not None:
-            await job.before_end(b"".join(job.output))
+            await job.before_end()
         self._begin_stream(job, reply)
         job.responder.finish_stream()
 
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -129,7 +129,7 @@
             await self._forwarder.run(job)
         finally:
             if admission is not None:
-                admission.end(job.events, offered=job.offers > 0 and job.may_have_run)
+                admission.end(job.events)
         seconds = self._clock.monotonic() - started
         self._metrics.record_seconds("request", request.host, route.name, seconds)
         self._metrics.count("served")
@@ -163,7 +163,7 @@
             raise job.refuse(ErrorKind.TIMEOUT, message) from None
         if route.keeps_turns:
             job.body = admission.history + request.http.body
-            job.before_end = admission.keep
+            job.before_end = lambda: admission.keep(b"".join(job.output), job.events)
         return admission
 
     def _refuse(
--- /dev/null
+++ b/egretford/entry/keepers.py
@@ -0,0 +1,188 @@
+"""Asks the keepers: writes to all, waits for a quorum, and learns newer views on the way."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from attrs import Factory, define, evolve
+
+from egretford.clock import Clock
+from egretford.controllers.loops import TaskGroup, run_every
+from egretford.errors import (
+    EgretfordError,
+    RequestError,
+    StoreUnavailableError,
+)
+from egretford.keeper.messages import KeeperReply, KeeperRequest, NotReady, OutdatedView
+from egretford.peer.interface import Peers
+from egretford.policy.views import Member, View, count_quorum
+
+# A keeper answers within some milliseconds, and within some tens from another region.
+ASK_SECONDS = 1.0
+# How often the store is asked for the view while none is known or no quorum answers.
+VIEW_SECONDS = 1.0
+# Views change one member at a time; more changes than this during one call are not expected.
+MAX_VIEW_CHANGES = 4
+# A keeper that did not answer is not counted on for this long.
+DOWN_SECONDS = 0.7
+
+
+class KeepersUnavailableError(EgretfordError):
+    """Too few keepers answered; some may have taken the request."""
+
+
+@define
+class Round:
+    """One request to all active members of a view, and what they answered so far."""
+
+    view: View
+    tasks: dict[Member, asyncio.Task[KeeperReply]] = Factory(dict)
+
+    def list_replies(self, kind: type) -> dict[Member, Any]:
+        """Return the replies of one type that have come."""
+        found = {}
+        for member, task in self.tasks.items():
+            if task.done() and not task.cancelled() and task.exception() is None:
+                if isinstance(task.result(), kind):
+                    found[member] = task.result()
+        return found
+
+
+class KeeperGroup:
+    """The keepers as an entry sees them."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        read_view: Callable[[], Awaitable[tuple[View, int | None]]],
+        tolerated_losses: int,
+        failure_domain: str,
+        regions: dict[str, str],
+        clock: Clock,
+        log: Any,
+    ) -> None:
+        self._peers = peers
+        self._read_view = read_view
+        self._tolerated = tolerated_losses
+        self._domain = failure_domain
+        self._regions = regions
+        self._clock = clock
+        self._log = log
+        self._tasks = TaskGroup()
+        self._down_until: dict[str, float] = {}
+        self._needs_view = True
+        self.view = View()
+
+    async def start(self) -> None:
+        """Learn the view in the background."""
+        self._tasks.spawn(run_every(self._clock, VIEW_SECONDS, self._refresh_view, self._log))
+
+    async def close(self) -> None:
+        """Stop; requests under way are dropped."""
+        await self._tasks.close()
+
+    async def _refresh_view(self) -> None:
+        if not self._needs_view:
+            return
+        try:
+            view, _ = await self._read_view()
+        except StoreUnavailableError as error:
+            self._log.info("the view of keepers cannot be read", error=str(error))
+            return
+        self.learn_view(view)
+        self._needs_view = view.number == 0
+
+    def learn_view(self, view: View) -> None:
+        """Take a newer view."""
+        if view.number <= self.view.number:
+            return
+        self._log.info(
+            "learnt of a view",
+            view=view.number,
+            before=self.view.number,
+            members=[member.name for member in view.members],
+        )
+        self.view = view
+        self._peers.keep_only({member.address for member in view.members})
+
+    def rank_by_distance(self, members: list[Member]) -> list[Member]:
+        """Order members: own failure domain, own region, others."""
+        region = self._regions.get(self._domain)
+
+        def distance(member: Member) -> int:
+            if member.failure_domain == self._domain:
+                return 0
+            return 1 if self._regions.get(member.failure_domain) == region else 2
+
+        return sorted(members, key=distance)
+
+    def has_quorum(self) -> bool:
+        """Whether enough members are thought to answer."""
+        now = self._clock.monotonic()
+        active = self.view.active
+        up = [m for m in active if self._down_until.get(m.disk, 0.0) <= now]
+        return bool(active) and len(up) >= count_quorum(self.view, self._tolerated)
+
+    async def ask_quorum(self, build: Callable[[Member], KeeperRequest], kind: type) -> Round:
+        """Send a request to all active members; returns once a quorum answered with `kind`.
+
+        The others are still waited for in the background. Raises KeepersUnavailableError.
+        """
+        for _ in range(MAX_VIEW_CHANGES):
+            view = self.view
+            if not self.has_quorum():
+                self._needs_view = True
+                raise KeepersUnavailableError(f"too few keepers answer under view {view.number}")
+            round_ = Round(view)
+            for member in view.active:
+                message = evolve(build(member), view=view)
+                round_.tasks[member] = self._tasks.spawn(self._ask(member, message))
+            if await self._wait_quorum(round_, kind):
+                return round_
+            if self.view.number == view.number:
+                break
+        self._needs_view = True
+        raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}")
+
+    async def _wait_quorum(self, round_: Round, kind: type) -> bool:
+        quorum = count_quorum(round_.view, self._tolerated)
+        pending = set(round_.tasks.values())
+        while pending:
+            _, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            if self.view.number > round_.view.number:
+                return False
+            good = len(round_.list_replies(kind))
+            if good >= quorum:
+                return True
+            if good + len(pending) < quorum:
+                return False
+        return False
+
+    async def ask_one(self, member: Member, message: KeeperRequest) -> KeeperReply:
+        """Ask one member; raises EgretfordError."""
+        return await self._ask(member, evolve(message, view=self.view))
+
+    async def _ask(self, member: Member, message: KeeperRequest) -> KeeperReply:
+        try:
+            reply = await self._peers.ask(member.address, message, ASK_SECONDS)
+        except RequestError as error:
+            self._log.warning("a keeper failed", keeper=member.name, error=str(error))
+            raise
+        except EgretfordError as error:
+            if member.disk not in self._down_until:
+                self._log.warning("lost a keeper", keeper=member.name, error=str(error))
+            self._down_until[member.disk] = self._clock.monotonic() + DOWN_SECONDS
+            raise
+        if self._down_until.pop(member.disk, None) is not None:
+            self._log.info("a keeper answers again", keeper=member.name)
+        if isinstance(reply, OutdatedView):
+            self.learn_view(reply.view)
+        elif isinstance(reply, NotReady):
+            self._log.info("a keeper is not ready", keeper=member.name, reason=reply.reason)
+        return reply
+
+    def run_in_background(self, work: Any) -> None:
+        """Run a coroutine that outlives the request it belongs to."""
+        self._tasks.spawn(work)
--- /dev/null
+++ b/egretford/keeper/copying.py
@@ -0,0 +1,127 @@
+"""Copies from each other keeper what this one lacks."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import define
+
+from egretford.clock import Clock
+from egretford.controllers.loops import TaskGroup
+from egretford.errors import EgretfordError
+from egretford.keeper.messages import (
+    FetchTurns,
+    ListRecords,
+    OutdatedView,
+    RecordPage,
+    TurnPage,
+)
+from egretford.keeper.records import Records
+from egretford.keeper.service import KeeperService
+from egretford.peer.interface import Peers
+from egretford.policy.views import Member
+
+# How often each other keeper is asked; also how soon a silent one is noticed.
+COPY_SECONDS = 0.5
+ASK_SECONDS = 1.0
+
+
+@define
+class Source:
+    """What is known of one other keeper; `heard_at` in monotonic seconds.
+
+    `copied_view` is the newest view under which all of its records were copied.
+    """
+
+    member: Member
+    heard_at: float
+    lifetime: str = ""
+    position: int = 0
+    copied_view: int = 0
+    ready: bool = False
+
+
+class Copying:
+    """One loop a keeper; what a keeper missed while it was down comes the same way."""
+
+    def __init__(
+        self,
+        disk: str,
+        service: KeeperService,
+        records: Records,
+        peers: Peers,
+        clock: Clock,
+        log: Any,
+    ) -> None:
+        self._disk = disk
+        self._service = service
+        self._records = records
+        self._peers = peers
+        self._clock = clock
+        self._log = log
+        self._tasks = TaskGroup()
+        self.sources: dict[str, Source] = {}
+
+    async def start(self) -> None:
+        """Begin with the members of the view."""
+        self.follow_view()
+
+    async def close(self) -> None:
+        """Stop copying."""
+        await self._tasks.close()
+
+    def follow_view(self) -> None:
+        """Copy from the members of the newest view, and from no others."""
+        members = {m.disk: m for m in self._service.view.members if m.disk != self._disk}
+        for disk in set(self.sources) - set(members):
+            del self.sources[disk]
+        for disk, member in members.items():
+            if disk not in self.sources:
+                self.sources[disk] = Source(member, self._clock.monotonic())
+                self._tasks.spawn(self._follow(disk))
+
+    async def _follow(self, disk: str) -> None:
+        while (source := self.sources.get(disk)) is not None:
+            try:
+                while await self._copy_page(source):
+                    pass
+            except EgretfordError as error:
+                self._log.info(
+                    "could not copy from a keeper",
+                    keeper=source.member.name,
+                    silent_s=round(self._clock.monotonic() - source.heard_at, 2),
+                    error=str(error),
+                )
+            await self._clock.sleep(COPY_SECONDS)
+
+    async def _copy_page(self, source: Source) -> bool:
+        """Copy one page; returns whether more follows."""
+        view = self._service.view
+        message = ListRecords(view, self._disk, source.lifetime, source.position)
+        reply = await self._peers.ask(source.member.address, message, ASK_SECONDS)
+        source.heard_at = self._clock.monotonic()
+        match reply:
+            case OutdatedView():
+                await self._service.adopt(reply.view)
+                return self.sources.get(source.member.disk) is source
+            case RecordPage():
+                had_all = not reply.charges and not reply.turns
+                await self._take(source, reply)
+                source.ready = reply.ready
+                if not reply.more and source.copied_view < view.number:
+                    source.copied_view = view.number
+                # One empty page more tells the source that all of it is copied.
+                return not had_all
+        return False
+
+    async def _take(self, source: Source, page: RecordPage) -> None:
+        missing = self._records.list_missing(page.turns)
+        while missing:
+            message = FetchTurns(self._service.view, tuple(missing))
+            reply = await self._peers.ask(source.member.address, message, ASK_SECONDS)
+            if not isinstance(reply, TurnPage) or not reply.turns:
+                break
+            await self._records.write(list(reply.turns))
+            missing = self._records.list_missing(tuple(missing))
+        await self._records.write(list(page.charges))
+        source.lifetime, source.position = page.lifetime, page.position
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -1,6 +1,122 @@
-import asyncio
+"""The daemon of a keeper."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from pathlib import Path
+from typing import Any
+
+from egretford.clock import Clock
+from egretford.controllers.loops import TaskGroup, run_every
+from egretford.instance import InstanceSettings
+from egretford.keeper.copying import Copying
+from egretford.keeper.log import DiskLog, write_file_durably
+from egretford.keeper.membership import Membership
+from egretford.keeper.messages import KeeperReply, KeeperRequest
+from egretford.keeper.records import Records
+from egretford.keeper.service import KeeperService
+from egretford.logs import make_logger
+from egretford.metrics import Metrics
+from egretford.peer.sockets import PeerClient, PeerServer
+from egretford.platform.agreements import StoredEvacuations, StoredView
+from egretford.platform.documents import EVACUATIONS_KIND
+from egretford.platform.feeds import ObjectFeed, StoreHealth
+from egretford.platform.store import MetadataStore
+from egretford.policy.views import Member
+
+IDENTITY_FILE = "disk-id"
+EXPIRE_SECONDS = 1.0
+
+
 class KeeperDaemon:
-    def __init__(self,*a): pass
-    async def start(self): pass
-    async def drain(self): pass
-    async def close(self): pass
+    """One keeper process."""
+
+    def __init__(
+        self, settings: InstanceSettings, clock: Clock, rng: random.Random, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._tasks = TaskGroup()
+        self._log = self._make_logger("keeper")
+        folder = Path(settings.data_folder)
+        self._disk_log = DiskLog(folder / "records", self._make_logger("disk"))
+        self._records = Records(self._disk_log, clock, self._make_logger("records"))
+        disk = read_disk_identity(folder)
+        me = Member(settings.name, disk, f"tcp://{settings.peer_address}", settings.failure_domain)
+        self._service = KeeperService(folder, disk, self._records, self._make_logger("service"))
+        self._peers = PeerClient(KeeperRequest, KeeperReply)
+        self._server = PeerServer(
+            me.address, self._service.answer, self._make_logger("peer"), KeeperRequest, KeeperReply
+        )
+        self._copying = Copying(
+            disk, self._service, self._records, self._peers, clock, self._make_logger("copying")
+        )
+        self._store = MetadataStore(settings.store_address, clock)
+        health = StoreHealth(clock, self._make_logger("store"))
+        evacuations = StoredEvacuations(self._store, self._make_logger("evacuation"))
+        self._feed = ObjectFeed(
+            self._store, EVACUATIONS_KIND, evacuations, health, clock, self._make_logger("feeds")
+        )
+        self._membership = Membership(
+            me,
+            self._service,
+            self._copying,
+            StoredView(self._store),
+            evacuations,
+            settings.tolerated_losses,
+            clock,
+            self._make_logger("membership"),
+        )
+
+    def _make_logger(self, part: str) -> Any:
+        return make_logger(part, instance=self._settings.name)
+
+    async def start(self) -> None:
+        """Read the disk, then answer and join."""
+        self._records.load()
+        self._service.load_view()
+        await self._server.start()
+        await self._feed.start()
+        await self._copying.start()
+        await self._membership.start()
+        self._tasks.spawn(
+            run_every(self._clock, EXPIRE_SECONDS, self._records.expire, self._log)
+        )
+        self._log.info(
+            "started",
+            domain=self._settings.failure_domain,
+            first=self._settings.first_start,
+            view=self._service.view.number,
+        )
+
+    async def drain(self) -> None:
+        """Nothing is left open: what was acknowledged is synced."""
+        self._log.info("stopping", **self._records.counts)
+
+    async def close(self) -> None:
+        """Stop everything."""
+        await self._membership.close()
+        await self._copying.close()
+        await self._feed.close()
+        await self._server.close()
+        await self._peers.close()
+        await self._store.close()
+        await self._tasks.close()
+        await self._disk_log.close()
+        self._log.info("stopped")
+
+
+def read_disk_identity(folder: Path) -> str:
+    """Return the identity of the disk; an empty disk gets a new one."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / IDENTITY_FILE
+    try:
+        found = path.read_text().strip()
+    except FileNotFoundError:
+        found = ""
+    if not found:
+        found = uuid.uuid4().hex
+        write_file_durably(path, found.encode())
+    return found
--- /dev/null
+++ b/egretford/keeper/messages.py
@@ -0,0 +1,139 @@
+"""Messages between entries and keepers, and what keepers write to their logs."""
+
+from __future__ import annotations
+
+from attrs import frozen
+from cattrs.strategies import configure_tagged_union
+
+from egretford.codec import converter
+from egretford.models import ErrorReply
+from egretford.policy.ledger import Charge
+from egretford.policy.views import View
+
+
+@frozen
+class Turn:
+    """A turn that was answered whole; it never changes.
+
+    `request_text` and `answer_text` are what the next turn's prompt repeats of it;
+    `retention` is in seconds.
+    """
+
+    id: str
+    previous: str | None
+    program: str
+    request_text: bytes
+    answer_text: bytes
+    retention: float
+
+
+Record = Charge | Turn
+
+
+@frozen
+class Reserve:
+    """Reserves a turn's charge; `previous` asks for that turn's chain.
+
+    Without `charge` only the chain is asked for.
+    """
+
+    view: View
+    charge: Charge | None
+    previous: str | None
+    with_chain: bool
+
+
+@frozen
+class Reserved:
+    """The program's charges as known here; `chain` holds the oldest turn first.
+
+    `missing` names the first turn of the chain that is not held here.
+    """
+
+    view: View
+    charges: tuple[Charge, ...]
+    chain: tuple[Turn, ...]
+    missing: str | None
+
+
+@frozen
+class Keep:
+    """Settles a charge, and keeps a turn."""
+
+    view: View
+    charge: Charge | None
+    turn: Turn | None
+
+
+@frozen
+class Kept:
+    """All of it is synced."""
+
+    view: View
+
+
+@frozen
+class ListRecords:
+    """Asks for what a keeper took after a position of one of its lifetimes.
+
+    `asker` is the asking keeper's disk.
+    """
+
+    view: View
+    asker: str
+    lifetime: str
+    position: int
+
+
+@frozen
+class RecordPage:
+    """Charges in full and turns by id; `more` tells that another page follows.
+
+    `ready` tells whether the keeper holds all that it is to hold.
+    """
+
+    view: View
+    lifetime: str
+    position: int
+    charges: tuple[Charge, ...]
+    turns: tuple[str, ...]
+    more: bool
+    ready: bool
+
+
+@frozen
+class FetchTurns:
+    """Asks for turns by id."""
+
+    view: View
+    ids: tuple[str, ...]
+
+
+@frozen
+class TurnPage:
+    """The turns that are held, as many as fit."""
+
+    view: View
+    turns: tuple[Turn, ...]
+
+
+@frozen
+class OutdatedView:
+    """The request came under an older view; try again under this one."""
+
+    view: View
+
+
+@frozen
+class NotReady:
+    """This keeper may lack records that it is to hold, and cannot answer yet."""
+
+    view: View
+    reason: str
+
+
+KeeperRequest = Reserve | Keep | ListRecords | FetchTurns
+KeeperReply = Reserved | Kept | RecordPage | TurnPage | OutdatedView | NotReady | ErrorReply
+
+for union in (Record, KeeperRequest, KeeperReply):
+    configure_tagged_union(union, converter, tag_name="_type")
--- a/egretford/peer/sockets.py
+++ b/egretford/peer/sockets.py
@@ -27,9 +27,14 @@
 
 
 class PeerClient:
-    """Asks peers; one socket an address."""
+    """Asks peers; one socket an address.
 
-    def __init__(self) -> None:
+    `requests` and `replies` are the tagged unions that go over it.
+    """
+
+    def __init__(self, requests: Any = Request, replies: Any = Reply) -> None:
+        self._requests = requests
+        self._replies = replies
         self._sockets: dict[str, pynng.Req0] = {}
 
     async def close(self) -> None:
@@ -53,14 +58,14 @@
         Raises the RequestError that the peer answered, or PeerUnreachableError when no reply
         came; the peer may then have taken the request.
         """
-        data = encode_bytes(message, Request)
+        data = encode_bytes(message, self._requests)
         try:
             async with asyncio.timeout(seconds):
                 answer = await self._exchange(address, data)
         except (TimeoutError, pynng.NNGException) as error:
             self._drop(address)
             raise PeerUnreachableError(f"{address}: {error!r}") from error
-        reply = _decode_reply(address, answer)
+        reply = self._decode(address, answer)
         if isinstance(reply, ErrorReply):
             raise reply.to_error()
         return reply
@@ -77,17 +82,26 @@
             return await context.arecv()
 
 
-def _decode_reply(address: str, data: bytes) -> Any:
-    try:
-        return decode_bytes(data, Reply)
-    except Exception as error:
-        raise PeerUnreachableError(f"{address}: malformed reply: {error!r}") from error
+    def _decode(self, address: str, data: bytes) -> Any:
+        try:
+            return decode_bytes(data, self._replies)
+        except Exception as error:
+            raise PeerUnreachableError(f"{address}: malformed reply: {error!r}") from error
 
 
 class PeerServer:
     """Answers peers; any number of requests at once."""
 
-    def __init__(self, address: str, handle: Handler, log: Any) -> None:
+    def __init__(
+        self,
+        address: str,
+        handle: Handler,
+        log: Any,
+        requests: Any = Request,
+        replies: Any = Reply,
+    ) -> None:
+        self._requests = requests
+        self._replies = replies
         self._address = address
         self._handle = handle
         self._log = log
@@ -129,10 +143,10 @@
 
     async def _answer(self, data: bytes) -> bytes:
         try:
-            reply = await self._handle(decode_bytes(data, Request))
+            reply = await self._handle(decode_bytes(data, self._requests))
         except RequestError as error:
             reply = ErrorReply.from_error(error)
         except Exception as error:
             self._log.error("a peer's request failed", error=repr(error))
             reply = ErrorReply(ErrorKind.INTERNAL, repr(error), Verdict.MAY_HAVE_RUN)
-        return encode_bytes(reply, Reply)
+        return encode_bytes(reply, self._replies)
--- /dev/null
+++ b/egretford/policy/views.py
@@ -0,0 +1,82 @@
+"""Views: which keepers hold records, and how many of them must agree.
+
+A record counts as kept once `count_quorum` members have synced it. Any two quorums of one
+view, and of two views that differ by one member, share a member. Keepers refuse requests
+that come under an older view than their own, so no two views are in use at one keeper.
+"""
+
+from __future__ import annotations
+
+from attrs import evolve, frozen
+
+
+@frozen
+class Member:
+    """A keeper of a view; `disk` is new whenever its disk is."""
+
+    name: str
+    disk: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+
+
+@frozen
+class View:
+    """The keepers under one number; higher numbers replace lower ones.
+
+    `dropped` lists the disks of members that were removed while they could not be reached:
+    what only they hold may come back with them.
+    """
+
+    number: int = 0
+    members: tuple[Member, ...] = ()
+    dropped: tuple[str, ...] = ()
+
+    @property
+    def active(self) -> tuple[Member, ...]:
+        """The members that count: all that are not leaving."""
+        return tuple(member for member in self.members if not member.leaving)
+
+    def find(self, disk: str) -> Member | None:
+        """Return the member with a disk, or None."""
+        return next((member for member in self.members if member.disk == disk), None)
+
+    def find_name(self, name: str) -> Member | None:
+        """Return the member of an instance, or None."""
+        return next((member for member in self.members if member.name == name), None)
+
+
+def count_quorum(view: View, tolerated_losses: int) -> int:
+    """Return how many active members must have synced a record."""
+    return max(tolerated_losses + 1, len(view.active) // 2 + 1)
+
+
+def add_member(view: View, member: Member) -> View:
+    """Return the next view with a member added; an instance's former disk leaves with it."""
+    others = tuple(m for m in view.members if m.name != member.name)
+    dropped = tuple(disk for disk in view.dropped if disk != member.disk)
+    return View(view.number + 1, (*others, member), dropped)
+
+
+def mark_leaving(view: View, disk: str) -> View:
+    """Return the next view, in which a member no longer counts but is still read."""
+    members = tuple(evolve(m, leaving=True) if m.disk == disk else m for m in view.members)
+    return evolve(view, number=view.number + 1, members=members)
+
+
+def remove_member(view: View, disk: str) -> View:
+    """Return the next view without a member whose records are all held by others."""
+    members = tuple(member for member in view.members if member.disk != disk)
+    return evolve(view, number=view.number + 1, members=members)
+
+
+def drop_member(view: View, disk: str) -> View:
+    """Return the next view without a member that cannot be reached."""
+    return evolve(remove_member(view, disk), dropped=(*view.dropped, disk))
+
+
+def forget_dropped(view: View, disk: str) -> View:
+    """Return the next view, in which a dropped member's records are past their retention."""
+    dropped = tuple(other for other in view.dropped if other != disk)
+    return evolve(view, number=view.number + 1, dropped=dropped)
