--- a/egretford/cli/daemons.py
+++ b/egretford/cli/daemons.py
@@ -14,15 +14,19 @@
 
 
 def run_daemon(words: list[str]) -> int:
-    """Run `entry` or `standin` until it is told to leave."""
+    """Run `entry`, `keeper` or `standin` until it is told to leave."""
     leave_out_unused()
     options = build_parser().parse_args(words)
     from egretford.logs import configure_logs
 
     configure_logs(options.log_level)
-    if options.command == "entry":
+    if options.command == "standin":
+        return _run_standin(options)
+    if options.command == "entry" and options.settings is not None:
         return _run_entry(options.settings)
-    return _run_standin(options)
+    from egretford.cli.platform_daemons import run_platform_daemon
+
+    return run_platform_daemon(options.command, options.metrics_port)
 
 
 def leave_out_unused() -> None:
@@ -36,7 +40,15 @@
     parser = argparse.ArgumentParser(prog="egretford")
     commands = parser.add_subparsers(dest="command", required=True)
     entry = commands.add_parser("entry", help="run an entry")
-    entry.add_argument("--settings", type=Path, required=True, help="JSON file with comments")
+    entry.add_argument(
+        "--settings",
+        type=Path,
+        help="JSON file with comments, for egretford's own interface;"
+        " without it, the settings file that the platform names is used",
+    )
+    keeper = commands.add_parser("keeper", help="run a keeper on the users' platform")
+    for command in (entry, keeper):
+        command.add_argument("--metrics-port", type=int, default=0, help="0 serves no metrics")
     standin = commands.add_parser("standin", help="run a stand-in of the outside world")
     standin.add_argument("kind", choices=("platform", "engine", "service"))
     standin.add_argument("--port", type=int, required=True)
@@ -46,7 +58,7 @@
     standin.add_argument("--step-seconds", type=float, default=0.010)
     standin.add_argument("--call-seconds", type=float, default=0.02)
     standin.add_argument("--fencing", choices=("checked", "ignored"), default="ignored")
-    for command in (entry, standin):
+    for command in (entry, keeper, standin):
         command.add_argument("--log-level", default="INFO")
     return parser
 
--- a/egretford/cli/main.py
+++ b/egretford/cli/main.py
@@ -11,9 +11,7 @@
 from egretford.cli.exits import ExitStatus
 from egretford.errors import EgretfordError, InputError, PlatformError, VersionConflictError
 
-DAEMONS = ("entry", "standin")
-# Daemons that take their settings from the file that the platform names.
-PLATFORM_ROLES = ("entry", "keeper")
+DAEMONS = ("entry", "keeper", "standin")
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -33,10 +31,6 @@
 
 
 def _run(words: list[str]) -> int:
-    if len(words) == 1 and words[0] in PLATFORM_ROLES:
-        from egretford.cli.platform_daemons import run_platform_daemon
-
-        return run_platform_daemon(words[0])
     if words and words[0] in DAEMONS and "--help" not in words:
         from egretford.cli.daemons import run_daemon
 
--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -93,7 +93,7 @@
         """Whether new callers may be sent here."""
         knows_routes = self.gateway.configuration_version is not None
         knows_workers = self.workers.listed_at is not None
-        knows_keepers = self._keepers.view.number > 0
+        knows_keepers = self._keepers.is_complete
         return knows_routes and knows_workers and knows_keepers and not self._leaving
 
     async def start(self) -> None:
@@ -106,6 +106,10 @@
         await self._keepers.start()
         self._log.info("started", domain=settings.failure_domain, first=settings.first_start)
 
+    def reload(self, settings: InstanceSettings) -> None:
+        """Take changed bounds; addresses stay as they were at the start."""
+        self._settings = settings
+
     async def drain(self) -> None:
         """Stop being ready, then serve until nothing is left or the grace period ends."""
         clock, grace = self._clock, self._settings.bounds.stop_grace
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -84,8 +84,18 @@
         await self._tasks.close()
 
     async def _refresh_view(self) -> None:
-        if not self._needs_view:
-            return
+        if self._needs_view or self._is_view_small():
+            await self._read_newer_view()
+
+    def _is_view_small(self) -> bool:
+        return len(self.view.active) < count_quorum(self.view, self._tolerated)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the view has enough members to keep anything."""
+        return not self._is_view_small()
+
+    async def _read_newer_view(self) -> None:
         try:
             view, _ = await self._read_view()
         except StoreUnavailableError as error:
@@ -131,6 +141,9 @@
         The others are still waited for in the background. Raises KeepersUnavailableError.
         """
         for _ in range(MAX_VIEW_CHANGES):
+            if self._is_view_small():
+                # Learnt while the keepers were still joining; any of them knows better.
+                await self._read_newer_view()
             view = self.view
             if not self.has_quorum():
                 self._needs_view = True
--- a/egretford/instance.py
+++ b/egretford/instance.py
@@ -26,7 +26,6 @@
     region: str
     regions: dict[str, str]
     peer_port: int
-    metrics_port: int
     store_address: str
     store_value_bytes: int
     bounds: DeploymentBounds
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import uuid
 from pathlib import Path
 from typing import Any
@@ -32,9 +31,7 @@
 class KeeperDaemon:
     """One keeper process."""
 
-    def __init__(
-        self, settings: InstanceSettings, clock: Clock, rng: random.Random, metrics: Metrics
-    ) -> None:
+    def __init__(self, settings: InstanceSettings, clock: Clock, metrics: Metrics) -> None:
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
@@ -73,6 +70,11 @@
     def _make_logger(self, part: str) -> Any:
         return make_logger(part, instance=self._settings.name)
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether entries get answers here."""
+        return self._service.ready
+
     async def start(self) -> None:
         """Read the disk, then answer and join."""
         self._records.load()
@@ -91,6 +93,10 @@
             view=self._service.view.number,
         )
 
+    def reload(self, settings: InstanceSettings) -> None:
+        """Take changed bounds; addresses and the disk stay as they were at the start."""
+        self._settings = settings
+
     async def drain(self) -> None:
         """Nothing is left open: what was acknowledged is synced."""
         self._log.info("stopping", **self._records.counts)
--- a/egretford/metrics.py
+++ b/egretford/metrics.py
@@ -60,6 +60,7 @@
     max_series: int = 200
     histograms: dict[tuple[str, str, str], HdrHistogram] = Factory(dict)
     counters: dict[str, int] = Factory(dict)
+    gauges: dict[str, float] = Factory(dict)
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
@@ -68,6 +69,7 @@
 
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
+        self.gauges[name] = value
         self.stats.gauge(name, value)
 
     def record_seconds(self, name: str, tenant: str, urgency: str, seconds: float) -> None:
--- a/egretford/platform/settings.py
+++ b/egretford/platform/settings.py
@@ -52,7 +52,6 @@
             region=self._take("region", str, ""),
             regions=self._take("zones", dict, {}),
             peer_port=ports[0],
-            metrics_port=ports[0] + 1,
             store_address=self._take("provider.address", str, ""),
             store_value_bytes=self._take("provider.value_bytes", int, 1_048_576, required=False),
             bounds=self._read_bounds(),
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,180 @@
+"""A whole deployment in one event loop: stand-ins of the platform, keepers and entries."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from egretford.clock import SystemClock
+from egretford.entry.daemon import EntryDaemon
+from egretford.instance import DeploymentBounds, InstanceSettings
+from egretford.keeper.daemon import KeeperDaemon
+from egretford.metrics import Metrics
+from tests.platform.standins import Caller, StoreStandin, WorkerStandin
+
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
+BOUNDS = DeploymentBounds(2.5, 8.0, 2.5, 12.0, 2.0)
+
+
+def find_free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_settings(name: str, zone: str, store: str, **changes) -> InstanceSettings:
+    values = dict(
+        name=name,
+        ip="127.0.0.1",
+        failure_domain=zone,
+        region=ZONES[zone],
+        regions=ZONES,
+        peer_port=find_free_port(),
+        store_address=store,
+        store_value_bytes=1_048_576,
+        bounds=BOUNDS,
+        memory_bytes=150_000_000,
+        tolerated_losses=1,
+        first_start=True,
+        worker_heartbeat=1.2,
+    )
+    return InstanceSettings(**(values | changes))
+
+
+def make_configuration(version: int = 3, **limits) -> dict:
+    def route(name, prefix, kind, upstream, **more):
+        return {
+            "name": name,
+            "hostname": "farm.example",
+            "path_prefix": prefix,
+            "route_type": kind,
+            "timeout_ms": 3000,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "backend": upstream,
+            **more,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("chat", "/chat/", "streaming", "models", attempts=1, retain=True, retention_s=60),
+            route("plan", "/plan/", "streaming", "models", attempts=1, resumable=True),
+            route("ping", "/ping/", "safe", "booking", attempts=3),
+            route("book", "/book/", "unsafe", "booking", attempts=1),
+        ],
+        "services": [
+            {
+                "name": "models",
+                "health_path": "/healthz",
+                "max_connections": 160,
+                "engine": {"slots": 8, "kv_capacity": 400_000, "tokens_per_event": 10},
+            },
+            {"name": "booking", "health_path": "/healthz", "max_connections": 110},
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        }
+        | limits,
+    }
+
+
+class Deployment:
+    """Three keepers, two entries, two workers of each upstream."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = StoreStandin()
+        self.workers = [
+            WorkerStandin("m-1", "models", "north-a", engine=True),
+            WorkerStandin("m-2", "models", "north-b", engine=True),
+            WorkerStandin("b-1", "booking", "north-a", engine=False),
+            WorkerStandin("b-2", "booking", "north-b", engine=False),
+        ]
+        self.keepers: dict[str, KeeperDaemon] = {}
+        self.keeper_settings: dict[str, InstanceSettings] = {}
+        self.entries: list[EntryDaemon] = []
+        self.callers: list[Caller] = []
+
+    async def start(self, entries: int = 2) -> None:
+        await self.store.start()
+        self.store.put("config", "main", make_configuration())
+        for worker in self.workers:
+            await worker.start()
+            self.store.put("servers", worker.id, worker.describe())
+        for number, zone in enumerate(ZONES, 1):
+            await self.start_keeper(f"keeper-{number}", zone)
+        for number in range(entries):
+            await self.start_entry(f"entry-{number + 1}", list(ZONES)[number])
+        await self.wait_until(lambda: all(entry.is_ready for entry in self.entries))
+        await self.wait_until(lambda: self.view_size() == 3 and self.count_ready() == 3)
+
+    def view_size(self) -> int:
+        found = self.store.objects.get(("keeper-views", "current"))
+        return len(found["spec"]["members"]) if found else 0
+
+    def count_ready(self) -> int:
+        return sum(keeper.is_ready for keeper in self.keepers.values())
+
+    async def start_keeper(self, name: str, zone: str | None = None) -> KeeperDaemon:
+        if name not in self.keeper_settings:
+            self.keeper_settings[name] = make_settings(
+                name, zone, self.store.address, data_folder=str(self.folder / name)
+            )
+        keeper = KeeperDaemon(self.keeper_settings[name], SystemClock(), Metrics())
+        await keeper.start()
+        self.keepers[name] = keeper
+        return keeper
+
+    async def stop_keeper(self, name: str) -> None:
+        await self.keepers.pop(name).close()
+
+    async def start_entry(self, name: str, zone: str) -> EntryDaemon:
+        settings = make_settings(
+            name,
+            zone,
+            self.store.address,
+            callers_address=f"127.0.0.1:{find_free_port()}",
+            readiness_address=f"127.0.0.1:{find_free_port()}",
+        )
+        entry = EntryDaemon(settings, SystemClock(), random.Random(5), Metrics())
+        await entry.start()
+        self.entries.append(entry)
+        self.callers.append(Caller(settings.callers_address))
+        return entry
+
+    async def wait_until(self, condition, seconds: float = 10.0) -> None:
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    def arrivals(self, request_id: str):
+        return [a for w in self.workers for a in w.arrivals if a.request_id == request_id]
+
+    def worker(self, worker_id: str) -> WorkerStandin:
+        return next(worker for worker in self.workers if worker.id == worker_id)
+
+    async def close(self) -> None:
+        for entry in self.entries:
+            await entry.close()
+        for keeper in self.keepers.values():
+            await keeper.close()
+        for worker in self.workers:
+            await worker.close()
+        await self.store.close()
+
+
+@asynccontextmanager
+async def run_deployment(folder: Path, entries: int = 2):
+    deployment = Deployment(folder)
+    try:
+        await deployment.start(entries)
+        yield deployment
+    finally:
+        await deployment.close()
--- /dev/null
+++ b/tests/platform/test_serving.py
@@ -0,0 +1,184 @@
+"""The whole path over the platform's protocol: entries, keepers, store and workers."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.platform.deployment import make_configuration, run_deployment
+from tests.platform.standins import join_events, make_event
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with run_deployment(tmp_path) as running:
+        yield running
+
+
+async def ask_turn(caller, body, request_id, **fields):
+    fields = {
+        "Program_Id": "p1",
+        "Session_Id": "s1",
+        "Token_Budget": "1000",
+        "Token_Usage": "100,50",
+    } | fields
+    return await caller.ask("/chat/1", body=body, request_id=request_id, **fields)
+
+
+async def test_a_safe_call_is_answered_with_the_workers_signature(deployment):
+    answer = await deployment.callers[0].ask("/ping/1", method="GET", request_id="a1")
+    assert (answer.status, answer.body) == (200, b"done a1")
+    assert answer.headers.get(b"Response-Signature").startswith(b"sig.b-")
+
+
+async def test_a_chain_reaches_the_worker_byte_for_byte_through_any_entry(deployment):
+    first, second = deployment.callers
+    assert (await ask_turn(first, b"hello ", "t1")).whole
+    assert (await ask_turn(second, b"more ", "t2", Previous_Turn="t1")).whole
+    await ask_turn(first, b"last", "t3", Previous_Turn="t2")
+    (arrival,) = deployment.arrivals("t3")
+    assert arrival.body == b"hello " + join_events(4) + b"more " + join_events(4) + b"last"
+
+
+async def test_a_turn_that_never_was_is_404(deployment):
+    answer = await ask_turn(deployment.callers[0], b"x", "t9", Previous_Turn="none")
+    assert answer.status == 404
+    assert not deployment.arrivals("t9")
+
+
+async def test_a_turn_is_readable_with_one_keeper_down_and_not_found_is_not_said(deployment):
+    await ask_turn(deployment.callers[0], b"hello ", "t1")
+    await deployment.stop_keeper("keeper-1")
+    answer = await ask_turn(deployment.callers[0], b"x", "t2", Previous_Turn="t1")
+    assert answer.status == 200
+    missing = await ask_turn(deployment.callers[0], b"x", "t3", Previous_Turn="none")
+    assert missing.status == 503
+    assert float(missing.headers.get_text(b"Retry-After")) > 0
+
+
+async def test_a_turn_is_not_acknowledged_by_one_keeper_alone(deployment):
+    await deployment.stop_keeper("keeper-1")
+    await deployment.stop_keeper("keeper-2")
+    answer = await ask_turn(deployment.callers[0], b"hello", "t1")
+    assert answer.status == 503
+    assert not deployment.arrivals("t1")
+
+
+async def test_keepers_that_lost_power_have_what_they_acknowledged(deployment):
+    await ask_turn(deployment.callers[0], b"hello ", "t1")
+    for name in list(deployment.keepers):
+        await deployment.stop_keeper(name)
+    for name in list(deployment.keeper_settings):
+        await deployment.start_keeper(name)
+    await asyncio.sleep(1.0)
+    answer = await ask_turn(deployment.callers[1], b"x", "t2", Previous_Turn="t1")
+    assert answer.status == 200
+
+
+async def test_a_program_is_stopped_at_its_budget_through_any_entry(deployment):
+    statuses = []
+    for number in range(8):
+        caller = deployment.callers[number % 2]
+        answer = await ask_turn(caller, b"x", f"t{number}", Token_Budget="130")
+        statuses.append(answer.status)
+    # A turn may cost 50 and does cost 40: two fit for sure, a third at its most does too.
+    assert statuses == [200, 200, 200, *[402] * 5]
+
+
+async def test_a_charge_is_given_back_where_no_worker_took_the_turn(deployment):
+    async def refuse(worker, arrival, responder):
+        from egretford.http.messages import Headers
+
+        responder.send_whole(503, Headers([(b"Not-Executed", b"1")]), b"")
+        return True
+
+    for worker in deployment.workers[:2]:
+        worker.script = refuse
+    for number in range(4):
+        answer = await ask_turn(deployment.callers[0], b"x", f"t{number}", Token_Budget="60")
+        assert answer.status == 503
+    for worker in deployment.workers[:2]:
+        worker.script = None
+    await asyncio.sleep(0.2)
+    assert (await ask_turn(deployment.callers[0], b"x", "t9", Token_Budget="60")).status == 200
+
+
+async def test_a_broken_stream_is_resumed_elsewhere_and_not_where_it_may_not(deployment):
+    broken = []
+
+    async def break_off(worker, arrival, responder):
+        if broken:
+            return False
+        broken.append(worker.id)
+        await worker.stream(arrival, responder, upto=3)
+        return True
+
+    for worker in deployment.workers[:2]:
+        worker.script = break_off
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert answer.whole
+    assert answer.body == b"".join(make_event(number) for number in range(1, 5))
+    broken.clear()
+    answer = await ask_turn(deployment.callers[0], b"x", "t1")
+    assert not answer.whole
+    assert len(deployment.arrivals("t1")) == 1
+
+
+async def test_a_call_that_may_have_run_is_not_sent_again(deployment):
+    async def crash(worker, arrival, responder):
+        responder.abort()
+        return True
+
+    for worker in deployment.workers[2:]:
+        worker.script = crash
+    answer = await deployment.callers[0].ask("/book/1", body=b"x", request_id="b1")
+    assert answer.status == 502
+    assert len(deployment.arrivals("b1")) == 1
+    answer = await deployment.callers[0].ask("/ping/1", method="GET", request_id="g1")
+    assert len(deployment.arrivals("g1")) == 2
+
+
+async def test_a_configuration_is_in_force_and_never_reverts(deployment):
+    newer = make_configuration(version=9)
+    newer["routes"] = [r for r in newer["routes"] if r["name"] != "ping"]
+    deployment.store.put("config", "main", newer)
+    gateway = deployment.entries[0].gateway
+    await deployment.wait_until(lambda: gateway.configuration_version == 9)
+    deployment.store.put("config", "main", make_configuration(version=5))
+    await asyncio.sleep(0.2)
+    assert (await deployment.callers[0].ask("/ping/1", method="GET")).status == 404
+
+
+async def test_an_unreadable_configuration_or_worker_disturbs_nothing(deployment):
+    deployment.store.put("config", "main", {"version": "ten"})
+    deployment.store.put("servers", "odd", {"backend": 7})
+    deployment.store.put("servers", "odder", "text")
+    await asyncio.sleep(0.2)
+    assert (await deployment.callers[0].ask("/ping/1", method="GET")).status == 200
+
+
+async def test_history_that_the_store_dropped_is_read_anew(deployment):
+    deployment.store.compact()
+    deployment.store.revision += 5
+    deployment.store.compact()
+    deployment.store.put("config", "main", make_configuration(version=11))
+    gateway = deployment.entries[0].gateway
+    await deployment.wait_until(lambda: gateway.configuration_version == 11)
+
+
+async def test_a_leaving_worker_gets_nothing_new(deployment):
+    deployment.store.put("servers", "b-1", deployment.worker("b-1").describe("draining"))
+    await asyncio.sleep(0.2)
+    for number in range(6):
+        await deployment.callers[0].ask("/ping/1", method="GET", request_id=f"d{number}")
+    assert not deployment.worker("b-1").arrivals
+
+
+async def test_fields_that_only_the_system_may_set_do_not_pass(deployment):
+    fields = {"Pin_Ms": "4000", "Kv_Hold": "h", "Expect_Instance": "x", "Connection": "X-Own"}
+    await deployment.callers[0].ask("/ping/1", method="GET", request_id="f1", X_Own="1", **fields)
+    (arrival,) = deployment.arrivals("f1")
+    names = {name.lower() for name, _ in arrival.headers}
+    assert not names & {b"pin-ms", b"kv-hold", b"x-own"}
+    assert arrival.headers.get_text(b"Expect-Instance").startswith("b-")
