--- a/egretford/cli/platform_daemons.py
+++ b/egretford/cli/platform_daemons.py
@@ -48,9 +48,7 @@
     log = make_logger("daemon", instance=settings.name)
     clock, metrics = SystemClock(), Metrics()
     daemon = _build(role, settings, clock, metrics)
-    page = HttpServer(
-        MetricsPage(metrics).handle, RequestLimits(), clock, log, name="metrics"
-    )
+    page = HttpServer(MetricsPage(metrics).handle, RequestLimits(), clock, log, name="metrics")
     loop = asyncio.get_running_loop()
     leaving = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -139,9 +139,7 @@
             },
             region=self._region,
         )
-        chosen = min(
-            candidates, key=lambda t: self._placement.estimate_cost(t.state, wanted)
-        )
+        chosen = min(candidates, key=lambda t: self._placement.estimate_cost(t.state, wanted))
         self._log.info(
             "chose a worker",
             request=request.id,
@@ -169,9 +167,7 @@
         if job.refusals >= MAX_REFUSALS or job.responder.started:
             raise job.refuse(ErrorKind.OVERLOADED, str(error)) from error
 
-    def _note_loss(
-        self, job: Forwarding, tracked: TrackedWorker, error: UpstreamLostError
-    ) -> None:
+    def _note_loss(self, job: Forwarding, tracked: TrackedWorker, error: UpstreamLostError) -> None:
         job.lost += 1
         job.excluded.add(tracked.worker.id)
         self._workers.note_failure(tracked, str(error))
@@ -221,7 +217,9 @@
             if left < MIN_SECONDS_LEFT:
                 raise job.refuse(ErrorKind.TIMEOUT, "no time is left to run the request")
             resume_after = self._find_resume_point(job)
-            connection.send(encode_request(job.request, tracked.worker, left, job.body, resume_after))
+            connection.send(
+                encode_request(job.request, tracked.worker, left, job.body, resume_after)
+            )
             job.sent = True
             job.offers += 1
             job.worker = tracked.worker.id
@@ -316,9 +314,7 @@
         self._begin_stream(job, reply)
         job.responder.finish_stream()
 
-    async def _read_part(
-        self, job: Forwarding, connection: ClientConnection
-    ) -> BodyPart | BodyEnd:
+    async def _read_part(self, job: Forwarding, connection: ClientConnection) -> BodyPart | BodyEnd:
         limit = STREAM_SILENCE_SECONDS if job.route.resumable else None
         try:
             async with asyncio.timeout(limit):
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -72,6 +72,7 @@
         self._log = log
         self._tasks = TaskGroup()
         self._down_until: dict[str, float] = {}
+        self._copying: set[str] = set()
         self._needs_view = True
         self.view = View()
 
@@ -151,9 +152,15 @@
             round_ = Round(view)
             for member in view.active:
                 message = evolve(build(member), view=view)
-                round_.tasks[member] = self._tasks.spawn(self._ask(member, message))
+                task = self._tasks.spawn(self._ask(member, message))
+                # Failures are logged where they are met, also those that come after a quorum.
+                task.add_done_callback(lambda done: done.cancelled() or done.exception())
+                round_.tasks[member] = task
             if await self._wait_quorum(round_, kind):
                 return round_
+            if self.view.number == view.number:
+                # Those that did not answer may have been replaced meanwhile.
+                await self._read_newer_view()
             if self.view.number == view.number:
                 break
         self._needs_view = True
@@ -192,10 +199,19 @@
             self._log.info("a keeper answers again", keeper=member.name)
         if isinstance(reply, OutdatedView):
             self.learn_view(reply.view)
-        elif isinstance(reply, NotReady):
-            self._log.info("a keeper is not ready", keeper=member.name, reason=reply.reason)
+        self._note_readiness(member, isinstance(reply, NotReady))
         return reply
 
+    def _note_readiness(self, member: Member, copying: bool) -> None:
+        if copying == (member.disk in self._copying):
+            return
+        if copying:
+            self._copying.add(member.disk)
+            self._log.info("a keeper is not ready yet", keeper=member.name)
+        else:
+            self._copying.discard(member.disk)
+            self._log.info("a keeper is ready", keeper=member.name)
+
     def run_in_background(self, work: Any) -> None:
         """Run a coroutine that outlives the request it belongs to."""
         self._tasks.spawn(work)
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -151,7 +151,7 @@
                 break
         lacking: set[Member] = set()
         view = self._keepers.view
-        for member in self._keepers.rank_by_distance(list(view.members)):
+        for member in self._keepers.rank_by_distance(list(view.holders)):
             if wanted is None:
                 break
             known = replies.get(member)
@@ -175,14 +175,14 @@
 
     def _refuse_history(self, previous: str, wanted: str, lacking: set[Member]) -> RequestError:
         view = self._keepers.view
-        certain = wanted == previous and not view.dropped and lacking >= set(view.members)
+        certain = wanted == previous and not view.dropped and lacking >= set(view.holders)
         self._log.info(
             "a turn was not found",
             turn=previous,
             missing=wanted,
             certain=certain,
             lacking=len(lacking),
-            members=len(view.members),
+            members=len(view.holders),
             view=view.number,
         )
         if certain:
@@ -192,9 +192,7 @@
     async def keep(self, charge: Charge | None, turn: Turn | None) -> None:
         """Write to the keepers; raises RequestError if too few took it."""
         try:
-            await self._keepers.ask_quorum(
-                lambda _: Keep(self._keepers.view, charge, turn), Kept
-            )
+            await self._keepers.ask_quorum(lambda _: Keep(self._keepers.view, charge, turn), Kept)
         except KeepersUnavailableError as error:
             raise RequestError(
                 ErrorKind.STORE_UNAVAILABLE,
--- a/egretford/exposition.py
+++ b/egretford/exposition.py
@@ -16,7 +16,8 @@
         for name, count in sorted(metrics.counters.items())
     ]
     lines += [
-        f'egretford_level{{name="{name}"}} {value}' for name, value in sorted(metrics.gauges.items())
+        f'egretford_level{{name="{name}"}} {value}'
+        for name, value in sorted(metrics.gauges.items())
     ]
     for row in metrics.list_histograms():
         labels = f'tenant="{row.tenant}",class="{row.urgency}"'
--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from attrs import define
@@ -60,6 +61,7 @@
         self._clock = clock
         self._log = log
         self._tasks = TaskGroup()
+        self._hurried = asyncio.Event()
         self.sources: dict[str, Source] = {}
 
     async def start(self) -> None:
@@ -76,7 +78,10 @@
         for disk in set(self.sources) - set(members):
             del self.sources[disk]
         for disk, member in members.items():
-            if disk not in self.sources:
+            known = self.sources.get(disk)
+            if known is not None:
+                known.member = member
+            else:
                 self.sources[disk] = Source(member, self._clock.monotonic())
                 self._tasks.spawn(self._follow(disk))
 
@@ -92,7 +97,22 @@
                     silent_s=round(self._clock.monotonic() - source.heard_at, 2),
                     error=str(error),
                 )
-            await self._clock.sleep(COPY_SECONDS)
+            await self._wait()
+
+    async def _wait(self) -> None:
+        hurried = self._hurried
+        sleeping = asyncio.ensure_future(self._clock.sleep(COPY_SECONDS))
+        hurrying = asyncio.ensure_future(hurried.wait())
+        try:
+            await asyncio.wait({sleeping, hurrying}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            sleeping.cancel()
+            hurrying.cancel()
+
+    def hurry(self) -> None:
+        """Copy again at once, as after a change of the view."""
+        self._hurried.set()
+        self._hurried = asyncio.Event()
 
     async def _copy_page(self, source: Source) -> bool:
         """Copy one page; returns whether more follows."""
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -10,7 +10,7 @@
 from egretford.controllers.loops import TaskGroup, run_every
 from egretford.instance import InstanceSettings
 from egretford.keeper.copying import Copying
-from egretford.keeper.log import DiskLog, write_file_durably
+from egretford.keeper.log import DiskLog, DurableMarker, write_file_durably
 from egretford.keeper.membership import Membership
 from egretford.keeper.messages import KeeperReply, KeeperRequest
 from egretford.keeper.records import Records
@@ -25,6 +25,7 @@
 from egretford.policy.views import Member
 
 IDENTITY_FILE = "disk-id"
+READY_FILE = "ready"
 EXPIRE_SECONDS = 1.0
 
 
@@ -62,6 +63,7 @@
             self._copying,
             StoredView(self._store),
             evacuations,
+            DurableMarker(folder / READY_FILE),
             settings.tolerated_losses,
             clock,
             self._make_logger("membership"),
@@ -83,9 +85,7 @@
         await self._feed.start()
         await self._copying.start()
         await self._membership.start()
-        self._tasks.spawn(
-            run_every(self._clock, EXPIRE_SECONDS, self._records.expire, self._log)
-        )
+        self._tasks.spawn(run_every(self._clock, EXPIRE_SECONDS, self._records.expire, self._log))
         self._log.info(
             "started",
             domain=self._settings.failure_domain,
--- a/egretford/keeper/log.py
+++ b/egretford/keeper/log.py
@@ -10,7 +10,7 @@
 import asyncio
 import os
 import struct
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -204,3 +204,38 @@
         os.close(handle)
     os.rename(draft, path)
     sync_folder(path.parent)
+
+
+class DurableMarker:
+    """A fact that survives restarts, as the presence of a file."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._is_set = path.exists()
+
+    def is_set(self) -> bool:
+        """Whether it was set since it was last cleared."""
+        return self._is_set
+
+    async def set(self) -> None:
+        """Set it; raises DiskError."""
+        await self._change(lambda: write_file_durably(self._path, b"1"))
+        self._is_set = True
+
+    async def clear(self) -> None:
+        """Clear it; raises DiskError."""
+        if self._is_set:
+            await self._change(lambda: remove_file_durably(self._path))
+            self._is_set = False
+
+    async def _change(self, change: Callable[[], None]) -> None:
+        try:
+            await asyncio.to_thread(change)
+        except OSError as error:
+            raise DiskError(repr(error)) from error
+
+
+def remove_file_durably(path: Path) -> None:
+    """Remove a file, and make that last."""
+    path.unlink(missing_ok=True)
+    sync_folder(path.parent)
--- a/egretford/keeper/membership.py
+++ b/egretford/keeper/membership.py
@@ -12,7 +12,9 @@
 from egretford.keeper.service import KeeperService
 from egretford.policy.views import (
     Member,
+    MemberState,
     View,
+    activate_member,
     add_member,
     drop_member,
     forget_dropped,
@@ -59,6 +61,19 @@
         """Return the state of a request for an instance: '', 'running', 'done', or None."""
 
 
+class ReadyMarker(Protocol):
+    """Whether the disk holds all that it is to hold; survives restarts."""
+
+    def is_set(self) -> bool:
+        """Whether it was set since it was last cleared."""
+
+    async def set(self) -> None:
+        """Set it; raises DiskError."""
+
+    async def clear(self) -> None:
+        """Clear it; raises DiskError."""
+
+
 class Membership:
     """Keeps this keeper in the view, and the view fit to serve."""
 
@@ -69,6 +84,7 @@
         copying: Copying,
         views: ViewStore,
         evacuations: Evacuations,
+        marker: ReadyMarker,
         tolerated_losses: int,
         clock: Clock,
         log: Any,
@@ -78,20 +94,21 @@
         self._copying = copying
         self._views = views
         self._evacuations = evacuations
+        self._marker = marker
         self._tolerated = tolerated_losses
         self._clock = clock
         self._log = log
         self._tasks = TaskGroup()
-        self._joined_view: int | None = None
+        self._target_view: int | None = None
         self._read_store = False
         self._leaving_since: float | None = None
         self._dropped_seen: dict[str, float] = {}
         self.evacuated = False
 
     async def start(self) -> None:
-        """Begin; a keeper whose disk is in the view that it last saw serves at once."""
-        if self._service.view.find(self._me.disk) is not None:
-            self._service.ready = True
+        """Begin; a keeper whose disk was complete in the view that it last saw serves at once."""
+        mine = self._service.view.find(self._me.disk)
+        self._service.ready = mine is not None and self._marker.is_set()
         self._tasks.spawn(run_every(self._clock, STEP_SECONDS, self.step, self._log))
 
     async def close(self) -> None:
@@ -104,7 +121,8 @@
         try:
             await self._step_view()
         except VersionConflictError:
-            await self._learn_from_store()
+            # Another keeper changed the view; the next step starts from its outcome.
+            self._read_store = False
         except StoreUnavailableError as error:
             self._log.info("the view cannot be changed now", error=str(error))
 
@@ -118,17 +136,19 @@
             await self._learn_from_store()
             self._read_store = True
         mine = self._service.view.find(self._me.disk)
-        if mine is None:
-            if state is None:
-                await self._join()
-            return
-        if not self._service.ready:
-            self._check_complete()
-        elif state is not None or mine.leaving:
-            await self._leave()
-        else:
-            await self._drop_silent()
-            await self._forget_dropped()
+        match mine.state if mine is not None else None:
+            case None:
+                if state is None:
+                    await self._join()
+            case MemberState.JOINING:
+                await self._activate()
+            case MemberState.ACTIVE if not self._service.ready:
+                await self._finish_joining()
+            case MemberState.ACTIVE if state is None:
+                await self._drop_silent()
+                await self._forget_dropped()
+            case _:
+                await self._leave()
 
     async def _learn_from_store(self) -> None:
         view, _ = await self._views.read()
@@ -142,34 +162,66 @@
         await self._views.replace(changed, revision)
         await self._service.adopt(changed)
         self._copying.follow_view()
+        self._copying.hurry()
         return changed
 
     # Joining
 
     async def _join(self) -> None:
+        await self._marker.clear()
         view = await self._replace(lambda view: add_member(view, self._me))
-        self._joined_view = view.number
+        self._target_view = view.number
         self._log.info("joined the view", view=view.number, members=len(view.members))
-        if len(view.members) == 1:
+        if view.active == view.members:
             # Without other members nothing can have been kept: a quorum needs several.
-            self._set_ready(view.number, missing=[])
-
-    def _check_complete(self) -> None:
-        joined = self._joined_view
-        if joined is None:
-            # Restarted while it was copying.
-            joined = self._joined_view = self._service.view.number
-        sources = list(self._copying.sources.values())
-        missing = [s for s in sources if s.copied_view < joined]
-        if all(self._is_silent(s, MISSING_SOURCE_SECONDS) for s in missing):
-            if len(missing) <= self._tolerated and len(missing) < max(1, len(sources)):
-                self._set_ready(joined, missing)
-
-    def _set_ready(self, view_number: int, missing: list[Source]) -> None:
+            await self._set_ready([])
+
+    async def _activate(self) -> None:
+        """Count from now on, if all that others hold under this view is copied."""
+        view = self._service.view
+        if self._target_view is None:
+            self._target_view = view.number
+        missing = self._list_uncopied()
+        replaced = any(m.name == self._me.name and m.disk != self._me.disk for m in view.members)
+        lost = len(missing) + (1 if replaced else 0)
+        if missing and not all(self._is_silent(s, MISSING_SOURCE_SECONDS) for s in missing):
+            return
+        if lost > self._tolerated or not view.active:
+            return
+        unreachable = frozenset(source.member.disk for source in missing)
+        view = await self._replace(lambda view: activate_member(view, self._me.disk, unreachable))
+        self._target_view = view.number
+        self._log.info(
+            "counts from now on",
+            view=view.number,
+            without=[source.member.name for source in missing],
+        )
+
+    async def _finish_joining(self) -> None:
+        """Answer once all is copied that was written before others knew of this view."""
+        if self._target_view is None:
+            self._target_view = self._service.view.number
+        missing = self._list_uncopied()
+        silent = all(self._is_silent(s, MISSING_SOURCE_SECONDS) for s in missing)
+        if not missing or (silent and len(missing) <= self._tolerated):
+            await self._set_ready(missing)
+
+    def _list_uncopied(self) -> list[Source]:
+        sources = self._copying.sources.values()
+        return [
+            source
+            for source in sources
+            if source.member.name != self._me.name
+            and source.member.state is not MemberState.JOINING
+            and source.copied_view < self._target_view
+        ]
+
+    async def _set_ready(self, missing: list[Source]) -> None:
+        await self._marker.set()
         self._service.ready = True
         self._log.info(
             "ready: all records are copied",
-            view=view_number,
+            view=self._service.view.number,
             without=[source.member.name for source in missing],
         )
 
@@ -180,18 +232,18 @@
 
     async def _leave(self) -> None:
         mine = self._service.view.find(self._me.disk)
-        if not mine.leaving:
+        if mine.state is not MemberState.LEAVING:
             await self._evacuations.note_running(self._me.name)
             view = await self._replace(lambda view: mark_leaving(view, self._me.disk))
-            self._joined_view = view.number
+            self._target_view = view.number
             self._leaving_since = self._clock.monotonic()
             self._log.info("leaving: others copy what is held here", view=view.number)
             return
         if self._leaving_since is None:
             self._leaving_since = self._clock.monotonic()
-            self._joined_view = self._service.view.number
+            self._target_view = self._service.view.number
         active = self._service.view.active
-        copied = [m for m in active if self._service.is_copied_by(m.disk, self._joined_view)]
+        copied = [m for m in active if self._service.is_copied_by(m.disk, self._target_view)]
         waited = self._clock.monotonic() - self._leaving_since
         enough = len(copied) > self._tolerated and waited >= STRAGGLER_SECONDS
         if len(copied) == len(active) or enough:
@@ -210,6 +262,7 @@
         sources = self._copying.sources.values()
         silent = [s for s in sources if self._is_silent(s, DROP_SECONDS)]
         heard = [s for s in sources if not self._is_silent(s, DROP_SECONDS) and s.ready]
+        silent = [s for s in silent if s.member.state is not MemberState.JOINING]
         if not silent or len(heard) + 1 < 2 * self._tolerated + 1:
             return
         if any(s.member.name < self._me.name for s in heard):
--- a/egretford/peer/sockets.py
+++ b/egretford/peer/sockets.py
@@ -81,7 +81,6 @@
             await context.asend(data)
             return await context.arecv()
 
-
     def _decode(self, address: str, data: bytes) -> Any:
         try:
             return decode_bytes(data, self._replies)
--- a/egretford/platform/documents.py
+++ b/egretford/platform/documents.py
@@ -38,7 +38,9 @@
             bounds=_decode_bounds(document["limits"]),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        problem = Problem("config/main", f"cannot be read: {error!r}", "the last one stays in force")
+        problem = Problem(
+            "config/main", f"cannot be read: {error!r}", "the last one stays in force"
+        )
         raise InputError([problem]) from error
 
 
--- a/egretford/platform/store.py
+++ b/egretford/platform/store.py
@@ -125,9 +125,7 @@
         body = {"metadata": {"name": name, "revision": revision}, "spec": content}
         return _require_object(await self._call("PUT", _object_path(kind, name), body))
 
-    async def replace_status(
-        self, kind: str, name: str, status: Any, revision: int
-    ) -> StoreObject:
+    async def replace_status(self, kind: str, name: str, status: Any, revision: int) -> StoreObject:
         """Replace the status of an object that has `revision`; raises VersionConflictError."""
         body = {"metadata": {"name": name, "revision": revision}, "status": status}
         path = _object_path(kind, name) + "/status"
--- a/egretford/platform/wire.py
+++ b/egretford/platform/wire.py
@@ -115,9 +115,7 @@
     )
 
 
-def encode_refusal_fields(
-    request_id: str, retry_after: float | None
-) -> list[tuple[bytes, bytes]]:
+def encode_refusal_fields(request_id: str, retry_after: float | None) -> list[tuple[bytes, bytes]]:
     """Return the fields of an answer that is the entry's own."""
     fields = [(b"Content-Type", b"text/plain")]
     if request_id:
--- a/egretford/policy/views.py
+++ b/egretford/policy/views.py
@@ -1,15 +1,26 @@
 """Views: which keepers hold records, and how many of them must agree.
 
-A record counts as kept once `count_quorum` members have synced it. Any two quorums of one
-view, and of two views that differ by one member, share a member. Keepers refuse requests
-that come under an older view than their own, so no two views are in use at one keeper.
+A record counts as kept once `count_quorum` active members have synced it. Any two quorums of
+one view, and of two views that differ by one active member, share a member. Keepers refuse
+requests that come under an older view than their own, so no two views are in use at one
+keeper.
 """
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 from attrs import evolve, frozen
 
 
+class MemberState(StrEnum):
+    """Whether a keeper counts: it does not while it still copies, or others still copy it."""
+
+    JOINING = "joining"
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
 @frozen
 class Member:
     """A keeper of a view; `disk` is new whenever its disk is."""
@@ -18,7 +29,7 @@
     disk: str
     address: str
     failure_domain: str
-    leaving: bool = False
+    state: MemberState = MemberState.JOINING
 
 
 @frozen
@@ -35,17 +46,18 @@
 
     @property
     def active(self) -> tuple[Member, ...]:
-        """The members that count: all that are not leaving."""
-        return tuple(member for member in self.members if not member.leaving)
+        """The members that count."""
+        return tuple(m for m in self.members if m.state is MemberState.ACTIVE)
+
+    @property
+    def holders(self) -> tuple[Member, ...]:
+        """The members that may hold what others do not: all but those that still join."""
+        return tuple(m for m in self.members if m.state is not MemberState.JOINING)
 
     def find(self, disk: str) -> Member | None:
         """Return the member with a disk, or None."""
         return next((member for member in self.members if member.disk == disk), None)
 
-    def find_name(self, name: str) -> Member | None:
-        """Return the member of an instance, or None."""
-        return next((member for member in self.members if member.name == name), None)
-
 
 def count_quorum(view: View, tolerated_losses: int) -> int:
     """Return how many active members must have synced a record."""
@@ -53,15 +65,37 @@
 
 
 def add_member(view: View, member: Member) -> View:
-    """Return the next view with a member added; an instance's former disk leaves with it."""
-    others = tuple(m for m in view.members if m.name != member.name)
-    dropped = tuple(disk for disk in view.dropped if disk != member.disk)
-    return View(view.number + 1, (*others, member), dropped)
+    """Return the next view with a member that begins to copy; the first one is active."""
+    others = tuple(
+        m
+        for m in view.members
+        if m.disk != member.disk and not (m.name == member.name and m.state is MemberState.JOINING)
+    )
+    state = MemberState.JOINING if others else MemberState.ACTIVE
+    return View(view.number + 1, (*others, evolve(member, state=state)), view.dropped)
+
+
+def activate_member(view: View, disk: str, unreachable: frozenset[str]) -> View:
+    """Return the next view, in which a member that has copied all others counts.
+
+    Its instance's former disk is gone; members that could not be reached are dropped.
+    """
+    mine = view.find(disk)
+    kept = []
+    for member in view.members:
+        if member.disk == disk:
+            kept.append(evolve(member, state=MemberState.ACTIVE))
+        elif member.name != mine.name and member.disk not in unreachable:
+            kept.append(member)
+    dropped = {*view.dropped, *unreachable} - {disk}
+    return View(view.number + 1, tuple(kept), tuple(sorted(dropped)))
 
 
 def mark_leaving(view: View, disk: str) -> View:
     """Return the next view, in which a member no longer counts but is still read."""
-    members = tuple(evolve(m, leaving=True) if m.disk == disk else m for m in view.members)
+    members = tuple(
+        evolve(m, state=MemberState.LEAVING) if m.disk == disk else m for m in view.members
+    )
     return evolve(view, number=view.number + 1, members=members)
 
 
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -193,3 +193,50 @@
         worker.script = stay_silent
     answer = await deployment.callers[0].ask("/book/1", body=b"x", request_id="b1", deadline_ms=300)
     assert answer.status == 504
+
+
+async def test_a_keeper_replaces_one_that_is_gone_for_good(deployment):
+    await ask_turn(deployment.callers[0], b"hello ", "t1")
+    await deployment.stop_keeper("keeper-3")
+    await deployment.start_keeper("keeper-4", "south-a")
+    # All the while, the two that are left serve.
+    for number in range(8):
+        answer = await ask_turn(
+            deployment.callers[0], b"x", f"u{number}", Previous_Turn="t1", Program_Id=f"q{number}"
+        )
+        assert answer.status == 200
+        await asyncio.sleep(0.2)
+    await deployment.wait_until(lambda: deployment.keepers["keeper-4"].is_ready)
+    await deployment.stop_keeper("keeper-1")
+    answer = await ask_turn(deployment.callers[1], b"x", "t3", Previous_Turn="u7", Program_Id="q7")
+    assert answer.status == 200
+
+
+async def test_a_keeper_with_an_empty_disk_copies_before_it_answers(deployment):
+    import shutil
+
+    await ask_turn(deployment.callers[0], b"hello ", "t1")
+    await deployment.stop_keeper("keeper-1")
+    shutil.rmtree(deployment.folder / "keeper-1")
+    keeper = await deployment.start_keeper("keeper-1")
+    await deployment.wait_until(lambda: keeper.is_ready)
+    await deployment.stop_keeper("keeper-2")
+    answer = await ask_turn(deployment.callers[0], b"x", "t2", Previous_Turn="t1")
+    assert answer.status == 200
+
+
+async def test_an_evacuated_keeper_leaves_nothing_behind(deployment):
+    await deployment.start_keeper("keeper-4", "south-a")
+    await deployment.wait_until(lambda: deployment.view_size() == 4)
+    await ask_turn(deployment.callers[0], b"hello ", "t1")
+    store = deployment.store
+    store.put("retirements", "keeper-1", {"duration_s": 8})
+    await deployment.wait_until(
+        lambda: (store.objects["retirements", "keeper-1"]["status"] or {}).get("phase")
+        == "completed"
+    )
+    await deployment.stop_keeper("keeper-1")
+    await deployment.stop_keeper("keeper-2")
+    await asyncio.sleep(0.5)
+    answer = await ask_turn(deployment.callers[0], b"x", "t2", Previous_Turn="t1")
+    assert answer.status == 200
