--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -131,10 +131,12 @@
 
     def has_quorum(self) -> bool:
         """Whether enough members are thought to answer."""
+        return len(self.list_answering()) >= count_quorum(self.view, self._tolerated)
+
+    def list_answering(self) -> list[Member]:
+        """Return the active members that are thought to answer."""
         now = self._clock.monotonic()
-        active = self.view.active
-        up = [m for m in active if self._down_until.get(m.disk, 0.0) <= now]
-        return bool(active) and len(up) >= count_quorum(self.view, self._tolerated)
+        return [m for m in self.view.active if self._down_until.get(m.disk, 0.0) <= now]
 
     async def ask_quorum(self, build: Callable[[Member], KeeperRequest], kind: type) -> Round:
         """Send a request to all active members; returns once a quorum answered with `kind`.
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from attrs import define
@@ -18,6 +19,8 @@
 # their most; turns take some hundred milliseconds.
 BUDGET_WAITS = 3
 BUDGET_WAIT_SECONDS = 0.1
+# How much longer than a quorum the nearest keeper may take to send a history.
+NEAREST_SECONDS = 0.05
 # How often a charge is settled again while too few keepers answer, with a pause between.
 SETTLE_TRIES = 12
 SETTLE_PAUSE_SECONDS = 0.5
@@ -101,7 +104,7 @@
         admission: TurnAdmission,
     ) -> None:
         for wait in range(BUDGET_WAITS + 1):
-            near = self._keepers.rank_by_distance(list(self._keepers.view.active))[:1]
+            near = self._keepers.rank_by_distance(self._keepers.list_answering())[:1]
             round_ = await self._keepers.ask_quorum(
                 lambda member, near=near: Reserve(
                     self._keepers.view, charge, previous, with_chain=member in near
@@ -123,8 +126,9 @@
 
     async def _wait_for(self, member: Member, round_: Any) -> dict[Member, Reserved]:
         try:
-            reply = await round_.tasks[member]
-        except EgretfordError:
+            async with asyncio.timeout(NEAREST_SECONDS):
+                reply = await asyncio.shield(round_.tasks[member])
+        except (EgretfordError, TimeoutError):
             # Logged where it was asked; another member has the history.
             return {}
         return {member: reply} if isinstance(reply, Reserved) else {}
