--- a/egretford/cli/platform_daemons.py
+++ b/egretford/cli/platform_daemons.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any, Protocol
 
+import uvloop
+
 from egretford.cli.exits import ExitStatus
 from egretford.clock import SystemClock
 from egretford.errors import InputError
@@ -38,7 +40,7 @@
 def run_platform_daemon(role: str, metrics_port: int) -> int:
     """Run one role from the platform's settings file until SIGTERM."""
     path = find_settings_path()
-    asyncio.run(_serve(role, path, metrics_port))
+    uvloop.run(_serve(role, path, metrics_port))
     writer.write_out()
     return ExitStatus.OK
 
