--- a/egretford/cli/platform_daemons.py
+++ b/egretford/cli/platform_daemons.py
@@ -8,8 +8,6 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-import uvloop
-
 from egretford.cli.exits import ExitStatus
 from egretford.clock import SystemClock
 from egretford.errors import InputError
@@ -40,7 +38,7 @@
 def run_platform_daemon(role: str, metrics_port: int) -> int:
     """Run one role from the platform's settings file until SIGTERM."""
     path = find_settings_path()
-    uvloop.run(_serve(role, path, metrics_port))
+    asyncio.run(_serve(role, path, metrics_port))
     writer.write_out()
     return ExitStatus.OK
 
