--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -60,6 +60,7 @@
         self._membership = Membership(
             me,
             self._service,
+            self._records,
             self._copying,
             StoredView(self._store),
             evacuations,
--- a/egretford/keeper/membership.py
+++ b/egretford/keeper/membership.py
@@ -9,6 +9,7 @@
 from egretford.controllers.loops import TaskGroup, run_every
 from egretford.errors import StoreUnavailableError, VersionConflictError
 from egretford.keeper.copying import Copying, Source
+from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
 from egretford.policy.views import (
     Member,
@@ -57,6 +58,10 @@
     async def note_done(self, instance: str) -> None:
         """Tell that the instance may be removed; raises StoreUnavailableError."""
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the requests have been read."""
+
     def find(self, instance: str) -> str | None:
         """Return the state of a request for an instance: '', 'running', 'done', or None."""
 
@@ -81,6 +86,7 @@
         self,
         me: Member,
         service: KeeperService,
+        records: Records,
         copying: Copying,
         views: ViewStore,
         evacuations: Evacuations,
@@ -91,6 +97,7 @@
     ) -> None:
         self._me = me
         self._service = service
+        self._records = records
         self._copying = copying
         self._views = views
         self._evacuations = evacuations
@@ -102,6 +109,7 @@
         self._target_view: int | None = None
         self._read_store = False
         self._leaving_since: float | None = None
+        self._leaving_position = 0
         self._dropped_seen: dict[str, float] = {}
         self.evacuated = False
 
@@ -138,7 +146,8 @@
         mine = self._service.view.find(self._me.disk)
         match mine.state if mine is not None else None:
             case None:
-                if state is None:
+                # An instance that was emptied stays out, also after a restart.
+                if state is None and self._evacuations.is_known:
                     await self._join()
             case MemberState.JOINING:
                 await self._activate()
@@ -236,14 +245,18 @@
             await self._evacuations.note_running(self._me.name)
             view = await self._replace(lambda view: mark_leaving(view, self._me.disk))
             self._target_view = view.number
-            self._leaving_since = self._clock.monotonic()
+            self._begin_leaving()
             self._log.info("leaving: others copy what is held here", view=view.number)
             return
         if self._leaving_since is None:
-            self._leaving_since = self._clock.monotonic()
             self._target_view = self._service.view.number
+            self._begin_leaving()
         active = self._service.view.active
-        copied = [m for m in active if self._service.is_copied_by(m.disk, self._target_view)]
+        copied = [
+            member
+            for member in active
+            if self._service.is_copied_by(member.disk, self._target_view, self._leaving_position)
+        ]
         waited = self._clock.monotonic() - self._leaving_since
         enough = len(copied) > self._tolerated and waited >= STRAGGLER_SECONDS
         if len(copied) == len(active) or enough:
@@ -256,6 +269,11 @@
                 after_s=round(waited, 2),
             )
 
+    def _begin_leaving(self) -> None:
+        """Note what is held now; nothing new is written here by entries any more."""
+        self._leaving_since = self._clock.monotonic()
+        self._leaving_position = self._records.position
+
     # Dropping
 
     async def _drop_silent(self) -> None:
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -118,8 +118,7 @@
 
     def _list(self, message: ListRecords) -> RecordPage:
         position = message.position if message.lifetime == self._records.lifetime else 0
-        if position == self._records.position:
-            self.copied_by[message.asker] = (message.view.number, position)
+        self.copied_by[message.asker] = (message.view.number, position)
         charges, turns, last, more = self._records.list_after(position)
         return RecordPage(
             self.view,
@@ -131,7 +130,7 @@
             self.ready,
         )
 
-    def is_copied_by(self, disk: str, view_number: int) -> bool:
-        """Whether a keeper has all records of this one, read under at least a view."""
-        number, position = self.copied_by.get(disk, (0, -1))
-        return number >= view_number and position == self._records.position
+    def is_copied_by(self, disk: str, view_number: int, position: int) -> bool:
+        """Whether a keeper has this one's records up to a position, asked under a view."""
+        number, copied = self.copied_by.get(disk, (0, -1))
+        return number >= view_number and copied >= position
--- a/egretford/platform/agreements.py
+++ b/egretford/platform/agreements.py
@@ -53,10 +53,12 @@
         self._store = store
         self._log = log
         self._items: dict[str, StoreObject] = {}
+        self.is_known = False
 
     def replace_all(self, listing: Listing) -> None:
         """Take all requests."""
         self._items = dict(listing.objects)
+        self.is_known = True
 
     def change(self, item: StoreObject, removed: bool) -> None:
         """Take a change of one request."""
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -225,16 +225,29 @@
     assert answer.status == 200
 
 
+async def keep_asking(caller):
+    for number in range(1000):
+        await ask_turn(caller, b"x", f"k{number}", Program_Id=f"k{number}")
+
+
 async def test_an_evacuated_keeper_leaves_nothing_behind(deployment):
     await deployment.start_keeper("keeper-4", "south-a")
     await deployment.wait_until(lambda: deployment.view_size() == 4)
     await ask_turn(deployment.callers[0], b"hello ", "t1")
     store = deployment.store
     store.put("retirements", "keeper-1", {"duration_s": 8})
+    # Turns go on, so that the one that leaves never stands still.
+    ongoing = asyncio.create_task(keep_asking(deployment.callers[1]))
     await deployment.wait_until(
         lambda: (store.objects["retirements", "keeper-1"]["status"] or {}).get("phase")
-        == "completed"
+        == "completed",
+        seconds=6.0,
     )
+    ongoing.cancel()
+    await deployment.stop_keeper("keeper-1")
+    again = await deployment.start_keeper("keeper-1")
+    await asyncio.sleep(1.0)
+    assert not again.is_ready
     await deployment.stop_keeper("keeper-1")
     await deployment.stop_keeper("keeper-2")
     await asyncio.sleep(0.5)
