--- /dev/null
+++ b/tests/keeper/test_records.py
@@ -0,0 +1,93 @@
+"""Records: kept for their retention, then gone from memory and disk."""
+
+from __future__ import annotations
+
+from egretford.keeper.log import DiskLog
+from egretford.keeper.messages import Turn
+from egretford.keeper.records import (
+    LEDGER_RETENTION_SECONDS,
+    RETENTION_MARGIN_SECONDS,
+    Records,
+)
+from egretford.policy.ledger import Charge
+from tests.platform.standins import NullLog
+
+
+class FakeClock:
+    def __init__(self) -> None:
+        self.time = 0.0
+
+    def monotonic(self) -> float:
+        return self.time
+
+
+def make_records(folder, clock):
+    records = Records(DiskLog(folder, NullLog()), clock, NullLog())
+    records.load()
+    return records
+
+
+def make_turn(number, previous=None, size=100):
+    return Turn(f"t{number}", previous, "p", b"q" * size, b"a" * size, retention=60.0)
+
+
+async def test_chains_and_charges_survive_a_restart(tmp_path):
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    await records.write([make_turn(1), make_turn(2, "t1"), Charge("p", "t2", 50)])
+    await records.write([Charge("p", "t2", 40, settled=True)])
+    again = make_records(tmp_path, clock)
+    chain, missing = again.read_chain("t2")
+    assert [turn.id for turn in chain] == ["t1", "t2"] and missing is None
+    assert again.list_charges("p") == (Charge("p", "t2", 40, settled=True),)
+
+
+async def test_a_settled_charge_does_not_become_reserved_again(tmp_path):
+    records = make_records(tmp_path, FakeClock())
+    await records.write([Charge("p", "t", 0, settled=True)])
+    await records.write([Charge("p", "t", 50)])
+    assert records.list_charges("p") == (Charge("p", "t", 0, settled=True),)
+
+
+async def test_a_chain_lasts_as_long_as_its_newest_turn(tmp_path):
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    await records.write([make_turn(1)])
+    clock.time = 60.0 + RETENTION_MARGIN_SECONDS - 1
+    chain, _ = records.read_chain("t1")
+    records.renew_chain(chain)
+    clock.time += 50
+    await records.expire()
+    assert records.read_chain("t1")[1] is None
+
+
+async def test_memory_and_disk_stay_bounded_over_a_long_run(tmp_path, monkeypatch):
+    monkeypatch.setattr("egretford.keeper.log.SEGMENT_BYTES", 20_000)
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    sizes, held = [], []
+    for step in range(1_500):
+        clock.time += 1.0
+        await records.write([make_turn(step, size=500), Charge(f"p{step // 10}", f"t{step}", 1)])
+        await records.expire()
+        sizes.append(sum(path.stat().st_size for path in tmp_path.glob("*.log")))
+        held.append(records.counts)
+    lasting = 60 + RETENTION_MARGIN_SECONDS
+    assert max(counts["turns"] for counts in held) <= lasting + 2
+    assert max(counts["programs"] for counts in held) <= LEDGER_RETENTION_SECONDS / 10 + 3
+    # All that is kept, twice over, and the segments being filled and emptied.
+    assert max(sizes) <= 2 * lasting * 1_300 + 3 * 20_000
+
+
+async def test_pages_bring_everything_once_and_what_came_later(tmp_path, monkeypatch):
+    monkeypatch.setattr("egretford.keeper.records.PAGE_RECORDS", 3)
+    records = make_records(tmp_path, FakeClock())
+    await records.write([make_turn(n) for n in range(7)])
+    position, found, more = 0, [], True
+    while more:
+        _, turns, position, more = records.list_after(position)
+        found += turns
+    assert found == [f"t{n}" for n in range(7)]
+    await records.write([Charge("p", "t1", 5)])
+    charges, turns, _, _ = records.list_after(position)
+    assert (len(charges), turns) == (1, [])
--- /dev/null
+++ b/tests/policy/test_ledger.py
@@ -0,0 +1,62 @@
+"""Budgets: copies of charges merge in any order, and never to less than was spent."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretford.policy.ledger import Charge, Ledger, fits_budget, merge_ledgers
+
+charges = st.builds(
+    Charge,
+    program=st.just("p"),
+    request=st.sampled_from("abcd"),
+    tokens=st.integers(0, 100),
+    settled=st.booleans(),
+)
+
+
+@given(st.lists(charges), st.randoms())
+def test_merging_does_not_depend_on_the_order(items, rng):
+    shuffled = list(items)
+    rng.shuffle(shuffled)
+    assert merge_ledgers([items]) == merge_ledgers([[item] for item in shuffled])
+
+
+@given(st.lists(charges))
+def test_merging_twice_changes_nothing(items):
+    ledger = merge_ledgers([items])
+    assert not any(ledger.merge(charge) for charge in list(ledger.charges.values()))
+
+
+def test_what_is_not_settled_counts_at_its_most():
+    ledger = merge_ledgers([[Charge("p", "a", 50), Charge("p", "b", 20, settled=True)]])
+    assert fits_budget(ledger, "c", 50, 120)
+    assert not fits_budget(ledger, "c", 51, 120)
+    ledger.merge(Charge("p", "a", 10, settled=True))
+    assert fits_budget(ledger, "c", 90, 120)
+
+
+def test_a_turn_does_not_count_against_itself():
+    ledger = Ledger()
+    ledger.merge(Charge("p", "a", 50))
+    assert fits_budget(ledger, "a", 50, 50)
+
+
+@given(st.lists(st.tuples(st.integers(0, 2), st.integers(0, 2), st.integers(1, 40)), max_size=12))
+def test_quorums_of_three_never_admit_more_than_the_budget(turns):
+    """Two of three copies take each charge; which two changes from turn to turn."""
+    copies = [Ledger(), Ledger(), Ledger()]
+    budget, admitted = 100, 0
+    for number, (skipped, _, tokens) in enumerate(turns):
+        quorum = [copy for index, copy in enumerate(copies) if index != skipped]
+        charge = Charge("p", str(number), tokens)
+        for copy in quorum:
+            copy.merge(charge)
+        union = merge_ledgers(copy.charges.values() for copy in quorum)
+        if fits_budget(union, charge.request, tokens, budget):
+            admitted += tokens
+        else:
+            for copy in quorum:
+                copy.merge(Charge("p", str(number), 0, settled=True))
+    assert admitted <= budget
