Stop requests that crash workers at every entry; test adapter, HTTP and streams

Found by the new tests: the header limit counted a request's head from its second piece on; an evacuation cut between its two writes left a keeper in the view for good.

--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from typing import Any
 
 from egretford.clock import Clock
 from egretford.controllers.loops import TaskGroup
+from egretford.entry.crashes import SharedCrashes
 from egretford.entry.forwarding import Forwarder
 from egretford.entry.gateway import Gateway
 from egretford.entry.keepers import KeeperGroup
@@ -58,6 +58,7 @@
             self._make_logger("keepers"),
         )
         self._turns = Turns(self._keepers, clock, self._make_logger("turns"))
+        self._crashes = SharedCrashes(self._keepers, clock, self._make_logger("crashes"))
         placement = Placement(
             settings.regions, prefill_tokens_per_second=ENGINE_PREFILL_TOKENS_PER_SECOND
         )
@@ -65,7 +66,14 @@
             self.workers, placement, settings.region, clock, self._make_logger("forwarding")
         )
         self.gateway = Gateway(
-            self.workers, forwarder, self._turns, metrics, clock, rng, self._make_logger("gateway")
+            self.workers,
+            forwarder,
+            self._turns,
+            self._crashes,
+            metrics,
+            clock,
+            rng,
+            self._make_logger("gateway"),
         )
         limits = RequestLimits()
         self._callers = HttpServer(
@@ -104,6 +112,7 @@
         for feed in self._feeds:
             await feed.start()
         await self._keepers.start()
+        await self._crashes.start()
         self._log.info("started", domain=settings.failure_domain, first=settings.first_start)
 
     def reload(self, settings: InstanceSettings) -> None:
@@ -134,6 +143,7 @@
         await self._callers.close()
         await self._readiness.close()
         self.workers.close()
+        await self._crashes.close()
         await self._keepers.close()
         await self._peers.close()
         await self._store.close()
--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -26,7 +26,6 @@
     BrokenResponseError,
     ClientConnection,
     ConnectError,
-    read_whole,
 )
 from egretford.http.messages import Headers
 from egretford.http.server import Responder
@@ -65,6 +64,7 @@
     responder: Responder
     deadline: float
     before_end: Callable[[], Awaitable[None]] | None = None
+    on_crash: Callable[[str], None] | None = None
     offers: int = 0
     refusals: int = 0
     lost: int = 0
@@ -169,6 +169,8 @@
 
     def _note_loss(self, job: Forwarding, tracked: TrackedWorker, error: UpstreamLostError) -> None:
         job.lost += 1
+        if error.crashed and job.on_crash is not None:
+            job.on_crash(tracked.worker.id)
         job.excluded.add(tracked.worker.id)
         self._workers.note_failure(tracked, str(error))
         self._log.info(
@@ -323,9 +325,9 @@
             raise UpstreamLostError("the stream went silent", crashed=True) from error
 
     async def _pass_event(self, job: Forwarding, reply: WorkerReply, event: StreamEvent) -> None:
-        if event.number is not None and job.last_event is not None:
-            if event.number <= job.last_event:
-                raise UpstreamLostError("the stream repeats an event", crashed=False)
+        numbered = event.number is not None and job.last_event is not None
+        if numbered and event.number <= job.last_event:
+            raise UpstreamLostError("the stream repeats an event", crashed=False)
         self._begin_stream(job, reply)
         job.events += 1
         job.last_event = event.number if event.number is not None else job.last_event
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from egretford.clock import Clock
+from egretford.entry.crashes import SharedCrashes
 from egretford.entry.forwarding import Forwarder, Forwarding
 from egretford.entry.models import CallerRequest, Route, RouteKind, RoutingTable
 from egretford.entry.turns import TurnAdmission, Turns
@@ -16,6 +17,7 @@
 from egretford.http.server import CallerGoneError, HttpServer, RequestLimits, Responder
 from egretford.metrics import Metrics
 from egretford.platform.wire import decode_request, encode_refusal_fields
+from egretford.policy.crashes import Crash, make_fingerprint
 from egretford.policy.routes import RouteIndex, choose_upstream
 
 # Callers that come back at once would find the same; spread, so that they do not return as one.
@@ -33,6 +35,7 @@
         workers: WorkerTable,
         forwarder: Forwarder,
         turns: Turns,
+        crashes: SharedCrashes,
         metrics: Metrics,
         clock: Clock,
         rng: random.Random,
@@ -41,6 +44,7 @@
         self._workers = workers
         self._forwarder = forwarder
         self._turns = turns
+        self._crashes = crashes
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -116,6 +120,9 @@
         limit = route.timeout
         if request.time_budget is not None:
             limit = min(limit, request.time_budget)
+        fingerprint = make_fingerprint(request.http.target, request.http.peer, request.http.body)
+        if self._crashes.blocks(fingerprint):
+            raise RequestError(ErrorKind.QUARANTINED, "such a request crashed several workers")
         job = Forwarding(
             request=request,
             route=route,
@@ -123,6 +130,7 @@
             body=request.http.body,
             responder=responder,
             deadline=started + limit,
+            on_crash=lambda worker: self._crashes.note(Crash(fingerprint, worker)),
         )
         admission = await self._admit(job)
         try:
@@ -130,6 +138,7 @@
         finally:
             if admission is not None:
                 admission.end(job.events)
+        self._crashes.note_success(fingerprint)
         seconds = self._clock.monotonic() - started
         self._metrics.record_seconds("request", request.host, route.name, seconds)
         self._metrics.count("served")
@@ -154,10 +163,10 @@
             return None
         upstream = self._index.table.upstreams.get(job.upstream)
         engine = upstream.engine if upstream else None
-        tokens_per_event = engine.tokens_per_event if engine else 1
+        event_tokens = engine.event_tokens if engine else 1
         try:
             async with asyncio.timeout(job.deadline - self._clock.monotonic()):
-                admission = await self._turns.admit(request, route, tokens_per_event)
+                admission = await self._turns.admit(request, route, event_tokens)
         except TimeoutError:
             message = "the turn's records could not be read in time"
             raise job.refuse(ErrorKind.TIMEOUT, message) from None
@@ -176,7 +185,8 @@
         status = HTTP_STATUS[error.kind]
         if error.verdict is Verdict.NOT_RUN:
             # Nothing ran: a status that promises so, unless the request itself is at fault.
-            status = _RETRYABLE_STATUS if status >= 429 else status
+            retryable = status >= 429 or error.kind is ErrorKind.QUARANTINED
+            status = _RETRYABLE_STATUS if retryable else status
         else:
             status = 504 if error.kind is ErrorKind.TIMEOUT else 502
         retry_after = error.retry_after_seconds
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -42,12 +42,12 @@
 
     def list_replies(self, kind: type) -> dict[Member, Any]:
         """Return the replies of one type that have come."""
-        found = {}
-        for member, task in self.tasks.items():
-            if task.done() and not task.cancelled() and task.exception() is None:
-                if isinstance(task.result(), kind):
-                    found[member] = task.result()
-        return found
+        answered = {
+            member: task.result()
+            for member, task in self.tasks.items()
+            if task.done() and not task.cancelled() and task.exception() is None
+        }
+        return {member: reply for member, reply in answered.items() if isinstance(reply, kind)}
 
 
 class KeeperGroup:
--- a/egretford/entry/models.py
+++ b/egretford/entry/models.py
@@ -54,7 +54,7 @@
 
     slots: int
     cache_tokens: int
-    tokens_per_event: int
+    event_tokens: int
 
 
 @frozen
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -34,7 +34,7 @@
     request: CallerRequest
     route: Route
     charge: Charge | None
-    tokens_per_event: int
+    event_tokens: int
     history: bytes = b""
     settled: bool = False
 
@@ -60,7 +60,7 @@
     def _settle(self, events: int) -> Charge | None:
         if self.charge is None:
             return None
-        tokens = events * self.tokens_per_event
+        tokens = events * self.event_tokens
         return Charge(self.charge.program, self.charge.request, tokens, settled=True)
 
 
@@ -72,15 +72,13 @@
         self._clock = clock
         self._log = log
 
-    async def admit(
-        self, request: CallerRequest, route: Route, tokens_per_event: int
-    ) -> TurnAdmission:
+    async def admit(self, request: CallerRequest, route: Route, event_tokens: int) -> TurnAdmission:
         """Reserve the turn's tokens and read its history; raises RequestError."""
         charge = None
         if request.token_budget is not None and request.program:
             charge = Charge(request.program, request.id, request.max_output_tokens)
         previous = request.previous_turn if route.keeps_turns else None
-        admission = TurnAdmission(self, request, route, charge, tokens_per_event)
+        admission = TurnAdmission(self, request, route, charge, event_tokens)
         if charge is None and previous is None:
             return admission
         try:
--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -224,7 +224,6 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._reset_request()
         self._begin_reading()
 
     def on_url(self, url: bytes) -> None:
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -43,7 +43,9 @@
         self._records = Records(self._disk_log, clock, self._make_logger("records"))
         disk = read_disk_identity(folder)
         me = Member(settings.name, disk, f"tcp://{settings.peer_address}", settings.failure_domain)
-        self._service = KeeperService(folder, disk, self._records, self._make_logger("service"))
+        self._service = KeeperService(
+            folder, disk, self._records, clock, self._make_logger("service")
+        )
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
         self._server = StreamPeerServer(
             me.address, self._service.answer, self._make_logger("peer"), KeeperRequest, KeeperReply
--- a/egretford/keeper/membership.py
+++ b/egretford/keeper/membership.py
@@ -147,7 +147,9 @@
         match mine.state if mine is not None else None:
             case None:
                 # An instance that was emptied stays out, also after a restart.
-                if state is None and self._evacuations.is_known:
+                if state is not None:
+                    await self._finish_evacuation()
+                elif self._evacuations.is_known:
                     await self._join()
             case MemberState.JOINING:
                 await self._activate()
@@ -260,15 +262,19 @@
         waited = self._clock.monotonic() - self._leaving_since
         enough = len(copied) > self._tolerated and waited >= STRAGGLER_SECONDS
         if len(copied) == len(active) or enough:
-            await self._evacuations.note_done(self._me.name)
-            self.evacuated = True
+            # Out of the view first: a restart in between must find that it may not serve.
             await self._replace(lambda view: remove_member(view, self._me.disk))
+            await self._finish_evacuation()
             self._log.info(
                 "left: others hold all records",
                 copied_by=[member.name for member in copied],
                 after_s=round(waited, 2),
             )
 
+    async def _finish_evacuation(self) -> None:
+        await self._evacuations.note_done(self._me.name)
+        self.evacuated = True
+
     def _begin_leaving(self) -> None:
         """Note what is held now; nothing new is written here by entries any more."""
         self._leaving_since = self._clock.monotonic()
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -7,6 +7,7 @@
 
 from egretford.codec import converter
 from egretford.models import ErrorReply
+from egretford.policy.crashes import Crash
 from egretford.policy.ledger import Charge
 from egretford.policy.views import View
 
@@ -117,6 +118,22 @@
     turns: tuple[Turn, ...]
 
 
+@frozen
+class ShareCrashes:
+    """Tells of workers that went down under a request, and asks what others saw."""
+
+    view: View
+    seen: tuple[Crash, ...]
+
+
+@frozen
+class CrashList:
+    """All crashes known; soft state, empty after a restart."""
+
+    view: View
+    crashes: tuple[Crash, ...]
+
+
 @frozen
 class OutdatedView:
     """The request came under an older view; try again under this one."""
@@ -132,8 +149,10 @@
     reason: str
 
 
-KeeperRequest = Reserve | Keep | ListRecords | FetchTurns
-KeeperReply = Reserved | Kept | RecordPage | TurnPage | OutdatedView | NotReady | ErrorReply
+KeeperRequest = Reserve | Keep | ListRecords | FetchTurns | ShareCrashes
+KeeperReply = (
+    Reserved | Kept | RecordPage | TurnPage | CrashList | OutdatedView | NotReady | ErrorReply
+)
 
 for union in (Record, KeeperRequest, KeeperReply):
     configure_tagged_union(union, converter, tag_name="_type")
--- a/egretford/keeper/records.py
+++ b/egretford/keeper/records.py
@@ -132,7 +132,7 @@
             held.expires_at = max(held.expires_at, lasting)
 
     def list_after(self, position: int) -> tuple[list[Charge], list[str], int, bool]:
-        """Return charges and turn ids taken after a position, the last position, and if more follow."""
+        """Return charges and turn ids taken after a position, the last one, and if more follow."""
         charges: list[Charge] = []
         turns: list[str] = []
         last = position
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -6,9 +6,11 @@
 from pathlib import Path
 from typing import Any
 
+from egretford.clock import Clock
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.keeper.log import DiskError, write_file_durably
 from egretford.keeper.messages import (
+    CrashList,
     FetchTurns,
     Keep,
     KeeperReply,
@@ -20,9 +22,11 @@
     RecordPage,
     Reserve,
     Reserved,
+    ShareCrashes,
     TurnPage,
 )
 from egretford.keeper.records import Records
+from egretford.policy.crashes import CrashTable
 from egretford.policy.views import View
 
 VIEW_FILE = "view"
@@ -35,10 +39,12 @@
     an older one back.
     """
 
-    def __init__(self, folder: Path, disk: str, records: Records, log: Any) -> None:
+    def __init__(self, folder: Path, disk: str, records: Records, clock: Clock, log: Any) -> None:
         self._path = folder / VIEW_FILE
         self._disk = disk
         self._records = records
+        self._clock = clock
+        self._crashes = CrashTable()
         self._log = log
         self._adopting = asyncio.Lock()
         self.view = View()
@@ -88,6 +94,10 @@
                 return self._list(message)
             case FetchTurns():
                 return TurnPage(view, tuple(self._records.find_turns(message.ids)))
+            case ShareCrashes():
+                now = self._clock.monotonic()
+                self._crashes.learn(message.seen, now)
+                return CrashList(view, self._crashes.list_recent(now))
             case _ if not self.ready:
                 return NotReady(view, "copying records from other keepers")
             case Reserve():
--- a/egretford/peer/streams.py
+++ b/egretford/peer/streams.py
@@ -92,6 +92,12 @@
     opening: asyncio.Task[_FrameProtocol]
     waiting: dict[int, asyncio.Future[bytes]] = Factory(dict)
 
+    @property
+    def protocol(self) -> _FrameProtocol | None:
+        """The open connection, if there is one."""
+        opened = self.opening.done() and not self.opening.cancelled()
+        return self.opening.result() if opened and self.opening.exception() is None else None
+
     def fail(self, reason: str) -> None:
         for future in self.waiting.values():
             if not future.done():
@@ -123,10 +129,9 @@
             return
         del self._links[address]
         link.fail("the connection was replaced")
-        if not link.opening.done():
-            link.opening.cancel()
-        elif not link.opening.cancelled() and link.opening.exception() is None:
-            link.opening.result().close()
+        if link.protocol is not None:
+            link.protocol.close()
+        link.opening.cancel()
 
     async def ask(self, address: str, message: Any, seconds: float) -> Any:
         """Send a request and return the reply.
@@ -171,9 +176,8 @@
 
     def _drop_lost(self, address: str, protocol: _FrameProtocol) -> None:
         link = self._links.get(address)
-        if link is not None and link.opening.done() and not link.opening.cancelled():
-            if link.opening.exception() is None and link.opening.result() is protocol:
-                self._drop(address)
+        if link is not None and link.protocol is protocol:
+            self._drop(address)
 
     async def _exchange(self, link: _Link, data: bytes) -> bytes:
         try:
--- a/egretford/platform/documents.py
+++ b/egretford/platform/documents.py
@@ -90,7 +90,7 @@
     return EngineProfile(
         slots=int(item["slots"]),
         cache_tokens=int(item["kv_capacity"]),
-        tokens_per_event=int(item.get("tokens_per_event", 1)),
+        event_tokens=int(item.get("tokens_per_event", 1)),
     )
 
 
--- a/tests/faults/scenario.py
+++ b/tests/faults/scenario.py
@@ -150,7 +150,7 @@
         find_owner(world, hosts).dead.set()
     elif variant == "rolling":
         leaving = find_owner(world, hosts)
-        while not leaving.inflight:  # noqa: ASYNC110 - requests come and go
+        while not leaving.inflight:
             await asyncio.sleep(0.01)
         await leaving.instance.drain(lambda: not leaving.inflight)
         leaving.left = not leaving.is_dead
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -163,7 +163,7 @@
         """Hold a dead process for good, and a frozen one until it thaws."""
         if host.is_dead:
             await asyncio.Event().wait()
-        while self.now() < host.frozen_until:  # noqa: ASYNC110 - the time may be moved on
+        while self.now() < host.frozen_until:
             await asyncio.sleep(max(TICK, host.frozen_until - self.now()))
 
     def _is_cut(self, source: str, target: str) -> bool:
@@ -282,7 +282,7 @@
         self, host: Host, worker: FakeWorker, step: str, effect: Callable[[], Any], seconds: float
     ) -> Any:
         async def guarded() -> Any:
-            while self.now() < worker.hung_until:  # noqa: ASYNC110 - the time may be moved on
+            while self.now() < worker.hung_until:
                 await asyncio.sleep(max(TICK, worker.hung_until - self.now()))
             return effect()
 
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,135 @@
+"""The server of callers: limits, malformed and smuggled requests, connections that linger."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from egretford.clock import SystemClock
+from egretford.http.messages import Headers
+from egretford.http.server import HttpServer, RequestLimits
+from tests.platform.standins import NullLog
+
+OK = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+@pytest.fixture
+async def server():
+    seen = []
+
+    async def handle(http, responder):
+        seen.append(http)
+        responder.send_whole(200, Headers(), b"ok")
+
+    limits = RequestLimits(
+        header_bytes=1_000, body_bytes=1_000, header_timeout=0.2, idle_timeout=0.4
+    )
+    server = HttpServer(handle, limits, SystemClock(), NullLog(), name="test")
+    server.seen = seen
+    await server.start("127.0.0.1:0")
+    yield server
+    await server.close()
+
+
+async def exchange(server, data, *, wait=1.0):
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(reader.read(), wait)
+    except TimeoutError:
+        return await asyncio.wait_for(reader.read(65_536), 0.01)
+    except ConnectionResetError:
+        return b"reset"
+    finally:
+        writer.close()
+
+
+def status_of(answer):
+    return int(answer.split(b" ")[1])
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 2_000, 431),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"5dc\r\n" + b"z" * 1_500 + b"\r\n0\r\n\r\n",
+            413,
+        ),
+    ],
+)
+async def test_what_breaks_protocol_or_limits_is_refused(server, request_bytes, status):
+    answer = await exchange(server, request_bytes)
+    assert status_of(answer) == status
+    assert not server.seen
+
+
+async def test_a_header_that_takes_too_long_is_refused(server):
+    assert status_of(await exchange(server, b"GET / HTTP/1.1\r\nHo")) == 408
+
+
+async def test_an_idle_connection_is_closed_and_a_request_before_is_answered(server):
+    answer = await exchange(server, OK)
+    assert status_of(answer) == 200
+
+
+async def test_a_request_inside_a_body_stays_a_body(server):
+    inner = b"GET /inner HTTP/1.1\r\nHost: a\r\n\r\n"
+    outer = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(inner)
+    await exchange(server, outer + inner)
+    assert [http.body for http in server.seen] == [inner]
+
+
+async def test_a_chunked_body_is_joined(server):
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    await exchange(server, head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    assert server.seen[0].body == b"abcde"
+
+
+async def test_requests_sent_ahead_are_answered_in_order(server):
+    answer = await exchange(server, OK * 3)
+    assert answer.count(b"200 OK") == 3
+
+
+async def test_a_draining_server_tells_callers_to_leave(server):
+    server.draining = True
+    assert b"Connection: close" in await exchange(server, OK)
+
+
+async def test_a_handler_is_cancelled_when_its_caller_leaves(server):
+    cancelled = asyncio.Event()
+
+    async def handle(http, responder):
+        try:
+            await asyncio.sleep(10)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    server.handle = handle
+    _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(OK)
+    await asyncio.sleep(0.05)
+    writer.close()
+    await asyncio.wait_for(cancelled.wait(), 1.0)
+
+
+async def test_a_failing_handler_promises_nothing(server):
+    async def handle(http, responder):
+        raise ValueError("a fault")
+
+    server.handle = handle
+    assert status_of(await exchange(server, OK)) == 500
--- /dev/null
+++ b/tests/peer/test_streams.py
@@ -0,0 +1,84 @@
+"""Request and reply over plain TCP between instances."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from egretford.errors import PeerUnreachableError
+from egretford.keeper.messages import FetchTurns, KeeperReply, KeeperRequest, TurnPage
+from egretford.peer.streams import LENGTH, StreamPeerClient, StreamPeerServer
+from egretford.policy.views import View
+from tests.platform.deployment import find_free_port
+from tests.platform.standins import NullLog
+
+VIEW = View(1)
+
+
+async def serve(handle):
+    address = f"tcp://127.0.0.1:{find_free_port()}"
+    server = StreamPeerServer(address, handle, NullLog(), KeeperRequest, KeeperReply)
+    await server.start()
+    return address, server, StreamPeerClient(KeeperRequest, KeeperReply)
+
+
+async def answer(message):
+    if message.ids:
+        await asyncio.sleep(float(message.ids[0]))
+    return TurnPage(message.view, ())
+
+
+async def test_many_requests_share_a_connection_and_answers_may_cross():
+    address, server, client = await serve(answer)
+    slow = asyncio.create_task(client.ask(address, FetchTurns(VIEW, ("0.3",)), 1.0))
+    assert isinstance(await client.ask(address, FetchTurns(VIEW, ()), 0.2), TurnPage)
+    assert not slow.done()
+    assert isinstance(await slow, TurnPage)
+    await client.close()
+    await server.close()
+
+
+async def test_a_silent_connection_is_replaced():
+    address, server, client = await serve(answer)
+    with pytest.raises(PeerUnreachableError):
+        await client.ask(address, FetchTurns(VIEW, ("5",)), 0.1)
+    assert isinstance(await client.ask(address, FetchTurns(VIEW, ()), 0.5), TurnPage)
+    await client.close()
+    await server.close()
+
+
+async def test_a_peer_that_is_gone_and_back_is_reached_again():
+    address, server, client = await serve(answer)
+    await client.ask(address, FetchTurns(VIEW, ()), 0.5)
+    await server.close()
+    with pytest.raises(PeerUnreachableError):
+        await client.ask(address, FetchTurns(VIEW, ()), 0.5)
+    server = StreamPeerServer(address, answer, NullLog(), KeeperRequest, KeeperReply)
+    await server.start()
+    assert isinstance(await client.ask(address, FetchTurns(VIEW, ()), 0.5), TurnPage)
+    await client.close()
+    await server.close()
+
+
+async def test_a_frame_that_cannot_be_one_ends_the_connection_only():
+    address, server, client = await serve(answer)
+    host, _, port = address.removeprefix("tcp://").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(LENGTH.pack(2**31) + b"x")
+    assert await reader.read() == b""
+    writer.close()
+    assert isinstance(await client.ask(address, FetchTurns(VIEW, ()), 0.5), TurnPage)
+    await client.close()
+    await server.close()
+
+
+async def test_a_failing_handler_is_an_answer():
+    async def fail(message):
+        raise ValueError("a fault")
+
+    address, server, client = await serve(fail)
+    with pytest.raises(Exception, match="a fault"):
+        await client.ask(address, FetchTurns(VIEW, ()), 0.5)
+    await client.close()
+    await server.close()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, unquote
 
@@ -129,10 +130,8 @@
             if found or loop.time() >= end or self.down:
                 break
             changed = self._changed
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), end - loop.time())
-            except TimeoutError:
-                pass
         if self.down:
             responder.abort()
             return
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -253,3 +253,26 @@
     await asyncio.sleep(0.5)
     answer = await ask_turn(deployment.callers[0], b"x", "t2", Previous_Turn="t1")
     assert answer.status == 200
+
+
+async def test_a_request_that_crashes_workers_is_stopped_at_every_entry(deployment):
+    async def crash(worker, arrival, responder):
+        responder.abort()
+        return True
+
+    for number in range(3):
+        worker = deployment.workers[2]
+        worker.script = crash
+        # Each crash is another process under another id.
+        deployment.store.remove("servers", "b-1" if number == 0 else f"b-1-{number}")
+        worker.id = f"b-1-{number + 1}"
+        deployment.store.put("servers", worker.id, worker.describe())
+        deployment.store.put("servers", "b-2", deployment.worker("b-2").describe("draining"))
+        await asyncio.sleep(0.7)
+        answer = await deployment.callers[0].ask("/book/1", body=b"bad", request_id=f"c{number}")
+        assert answer.status == 502
+    await asyncio.sleep(2.2)
+    for number, caller in enumerate(deployment.callers):
+        answer = await caller.ask("/book/1", body=b"bad", request_id=f"again{number}")
+        assert answer.status == 503
+        assert not deployment.arrivals(f"again{number}")
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -12,6 +12,6 @@
         uvicorn.Config(app, host=HOST, port=0, log_config=None, timeout_graceful_shutdown=1)
     )
     task = asyncio.create_task(server._serve())
-    while not server.started:  # noqa: ASYNC110 - the server has no event for it
+    while not server.started:
         await asyncio.sleep(0.01)
     return server, task, server.servers[0].sockets[0].getsockname()[1]
