--- a/egretford/cli/operators.py
+++ b/egretford/cli/operators.py
@@ -11,6 +11,7 @@
 import typer
 
 from egretford.cli.exits import ExitStatus
+from egretford.cli.explain import explain_request, read_lines
 from egretford.cli.requests import fetch_json
 from egretford.cli.store import apply_tables, read_stored
 from egretford.codec import to_json
@@ -159,3 +160,14 @@
 
 def _print_json(value: object) -> None:
     typer.echo(json.dumps(value, indent=2))
+
+
+@app.command()
+def explain(
+    request: Annotated[str, typer.Argument(help="id of the request")],
+    logs: Annotated[list[Path], typer.Argument(help="log files of any processes", exists=True)],
+) -> int:
+    """Print the lines of one request in order, with the beliefs that decided it."""
+    story = explain_request(request, read_lines(logs))
+    typer.echo(story.render())
+    return ExitStatus.OK if story.lines else ExitStatus.FAILED
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -133,6 +133,14 @@
         """Whether enough members are thought to answer."""
         return len(self.list_answering()) >= count_quorum(self.view, self._tolerated)
 
+    def is_view_whole(self) -> bool:
+        """Whether all that was ever kept is held by some member.
+
+        What was kept has more copies than members may be lost, and has been copied to
+        those that came since.
+        """
+        return len(self.view.dropped) <= self._tolerated
+
     def list_answering(self) -> list[Member]:
         """Return the active members that are thought to answer."""
         now = self._clock.monotonic()
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -177,7 +177,8 @@
 
     def _refuse_history(self, previous: str, wanted: str, lacking: set[Member]) -> RequestError:
         view = self._keepers.view
-        certain = wanted == previous and not view.dropped and lacking >= set(view.holders)
+        certain = wanted == previous and self._keepers.is_view_whole()
+        certain = certain and lacking >= set(view.holders)
         self._log.info(
             "a turn was not found",
             turn=previous,
--- a/egretford/logs.py
+++ b/egretford/logs.py
@@ -103,7 +103,7 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             _prefix_event,
             structlog.processors.LogfmtRenderer(
-                key_order=["timestamp", "level", "event"], drop_missing=True
+                key_order=["timestamp", "level", "event"], drop_missing=True, bool_as_flag=False
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level)),
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -207,6 +207,9 @@
         assert answer.status == 200
         await asyncio.sleep(0.2)
     await deployment.wait_until(lambda: deployment.keepers["keeper-4"].is_ready)
+    # No more were dropped than may be lost, so it is certain that such a turn was never kept.
+    answer = await ask_turn(deployment.callers[0], b"x", "n1", Previous_Turn="none")
+    assert answer.status == 404
     await deployment.stop_keeper("keeper-1")
     answer = await ask_turn(deployment.callers[1], b"x", "t3", Previous_Turn="u7", Program_Id="q7")
     assert answer.status == 200
