Watch in short turns for a while after the store failed

Ruled out: the store's answers (other calls were answered), a slow entry. Test: a watch that goes silent in an outage; red with one length of watches.

--- a/egretford/platform/feeds.py
+++ b/egretford/platform/feeds.py
@@ -18,9 +18,12 @@
 )
 from egretford.platform.store import HistoryGoneError, Listing, MetadataStore, StoreObject
 
-# A watch that stays silent longer than this is asked again on a fresh connection, so that a
-# change is seen within the 2.5 s that deployments allow even if one watch went silent.
+# How long a watch waits; one that stays silent beyond it is asked again on a new connection.
 WATCH_SECONDS = 4.0
+# The same for a while after a failure, when a waiting watch may have been forgotten with its
+# connection: a change is then still seen within the 2.5 s that deployments allow.
+UNSURE_WATCH_SECONDS = 1.0
+UNSURE_SECONDS = 10.0
 RETRY_SECONDS = 0.3
 
 
@@ -33,6 +36,14 @@
         self.failing_since: float | None = None
         self.recovered_at: float | None = None
 
+    @property
+    def is_sure(self) -> bool:
+        """Whether the store has answered for a while."""
+        if self.failing_since is not None:
+            return False
+        since = self.recovered_at
+        return since is None or self._clock.monotonic() - since > UNSURE_SECONDS
+
     def note_failure(self, error: Exception) -> None:
         """Note a call without a usable answer."""
         if self.failing_since is None:
@@ -105,7 +116,8 @@
             self._handler.replace_all(listing)
             self._revision = listing.revision
             return
-        answer = await self._store.watch(self._kind, self._revision, WATCH_SECONDS)
+        seconds = WATCH_SECONDS if self._health.is_sure else UNSURE_WATCH_SECONDS
+        answer = await self._store.watch(self._kind, self._revision, seconds)
         for change in answer.changes:
             self._handler.change(change.object, change.removed)
         self._revision = answer.revision
--- a/egretford/platform/store.py
+++ b/egretford/platform/store.py
@@ -30,7 +30,7 @@
 CALL_SECONDS = 1.5
 CONNECT_SECONDS = 0.5
 # How much later than asked a waiting watch may answer before its connection counts as silent.
-WATCH_GRACE_SECONDS = 1.0
+WATCH_GRACE_SECONDS = 0.7
 MAX_IDLE_CONNECTIONS = 4
 IDLE_SECONDS = 10.0
 # The store answers about 1 MB a page, and a little over for its envelope.
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -39,6 +39,7 @@
         self.oldest = 0
         self.down = False
         self.lose_answers = 0
+        self.silent_watches = 0
         self.calls: list[tuple[str, str]] = []
         self._changed = asyncio.Event()
         self.server = HttpServer(
@@ -120,6 +121,9 @@
         send_json(responder, 200, body)
 
     async def _watch(self, kind, since, seconds, responder) -> None:
+        if self.silent_watches:
+            self.silent_watches -= 1
+            await asyncio.sleep(30)
         if since < self.oldest:
             send_json(responder, 410, {})
             return
--- /dev/null
+++ b/tests/platform/test_feeds.py
@@ -0,0 +1,77 @@
+"""Feeds from the store: a change is seen in time, whatever became of a waiting watch."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from egretford.clock import SystemClock
+from egretford.platform.feeds import StoreHealth, build_configuration_feed
+from egretford.platform.store import MetadataStore
+from tests.platform.deployment import make_configuration
+from tests.platform.standins import NullLog, StoreStandin
+
+
+@pytest.fixture
+async def store():
+    standin = StoreStandin()
+    await standin.start()
+    standin.put("config", "main", make_configuration(version=1))
+    yield standin
+    await standin.close()
+
+
+async def follow(standin, learnt):
+    clock = SystemClock()
+    client = MetadataStore(standin.address, clock)
+    health = StoreHealth(clock, NullLog())
+    feed = build_configuration_feed(
+        client, lambda table: learnt.append(table.version), health, clock, NullLog()
+    )
+    await feed.start()
+    return client, feed
+
+
+async def wait_for(condition, seconds):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_a_watch_that_went_silent_in_an_outage_is_not_waited_for(store):
+    learnt = []
+    client, feed = await follow(store, learnt)
+    await wait_for(lambda: learnt == [1], 1.0)
+    store.down = True
+    store.compact()
+    store.put("config", "main", make_configuration(version=2))
+    await asyncio.sleep(0.4)
+    # The store takes the next watch, and forgets it as it comes back.
+    store.down, store.silent_watches = False, 1
+    await wait_for(lambda: store.silent_watches == 0, 1.0)
+    store.put("config", "main", make_configuration(version=3))
+    await wait_for(lambda: 3 in learnt, 2.5)
+    await feed.close()
+    await client.close()
+
+
+async def test_lost_history_is_listed_again(store):
+    learnt = []
+    client, feed = await follow(store, learnt)
+    await wait_for(lambda: learnt == [1], 1.0)
+    store.put("other", "x", 1)
+    store.compact()
+    store.put("config", "main", make_configuration(version=4))
+    await wait_for(lambda: 4 in learnt, 2.5)
+    await feed.close()
+    await client.close()
+
+
+async def test_a_listing_goes_through_all_pages(store):
+    for number in range(120):
+        store.put("things", f"n{number:03d}", number)
+    client = MetadataStore(store.address, SystemClock())
+    listing = await client.list_all("things")
+    assert len(listing.objects) == 120
+    await client.close()
