Keep a turn on as many keepers as must, near its callers, instead of on all

Change: turns go to tolerated losses + 1 keepers of the region, others take them over where one goes; charges still go to all; messages carry the view's number; watches pause after changes.

--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -15,8 +15,16 @@
     RequestError,
     StoreUnavailableError,
 )
-from egretford.keeper.messages import KeeperReply, KeeperRequest, NotReady, OutdatedView
+from egretford.keeper.messages import (
+    AdoptView,
+    KeeperReply,
+    KeeperRequest,
+    NotReady,
+    OutdatedView,
+    UnknownView,
+)
 from egretford.peer.interface import Peers
+from egretford.policy.copies import rank_copies
 from egretford.policy.views import Member, View, count_quorum
 
 # A keeper answers within some milliseconds, and within some tens from another region.
@@ -32,7 +40,11 @@
 
 
 class KeepersUnavailableError(EgretfordError):
-    """Too few keepers answered; some may have taken the request."""
+    """Too few keepers answered; some may have taken the request, and `answered` surely did."""
+
+    def __init__(self, message: str, answered: frozenset[Member] = frozenset()) -> None:
+        super().__init__(message)
+        self.answered = answered
 
 
 @define
@@ -134,6 +146,15 @@
         self.view = view
         self._peers.keep_only({member.address for member in view.members})
 
+    @property
+    def copies(self) -> int:
+        """How many keepers hold a turn."""
+        return self._tolerated + 1
+
+    def rank_copies(self, program: str) -> list[Member]:
+        """Order the members that are thought to answer by where a program's turns belong."""
+        return rank_copies(self.list_answering(), program, self._domain, self._regions)
+
     def rank_by_distance(self, members: list[Member]) -> list[Member]:
         """Order members: own failure domain, own region, others."""
         region = self._regions.get(self._domain)
@@ -162,11 +183,19 @@
         now = self._clock.monotonic()
         return [m for m in self.view.active if self._down_until.get(m.disk, 0.0) <= now]
 
-    async def ask_quorum(self, build: Callable[[Member], KeeperRequest], kind: type) -> Round:
+    async def ask_quorum(
+        self,
+        build: Callable[[Member], KeeperRequest],
+        kind: type,
+        needed: frozenset[Member] = frozenset(),
+        seconds: float | None = None,
+    ) -> Round:
         """Send a request to all active members; returns once a quorum answered with `kind`.
 
-        The others are still waited for in the background. Raises KeepersUnavailableError.
+        The quorum must hold all that are `needed`. The others are still waited for in the
+        background. Raises KeepersUnavailableError, at the latest after `seconds`.
         """
+        answered: frozenset[Member] = frozenset()
         for _ in range(MAX_VIEW_CHANGES):
             if self._is_view_small():
                 # Learnt while the keepers were still joining; any of them knows better.
@@ -175,44 +204,60 @@
             if not self.has_quorum():
                 self._needs_view = True
                 raise KeepersUnavailableError(f"too few keepers answer under view {view.number}")
-            round_ = Round(view)
-            for member in view.active:
-                message = evolve(build(member), view=view)
-                task = self._tasks.spawn(self._ask(member, message))
-                # Failures are logged where they are met, also those that come after a quorum.
-                task.add_done_callback(lambda done: done.cancelled() or done.exception())
-                round_.tasks[member] = task
-            if await self._wait_quorum(round_, kind):
+            round_ = self._send_round(view, build)
+            if await self._wait_quorum(round_, kind, needed, seconds):
                 return round_
-            if self.view.number == view.number:
+            answered = frozenset(round_.list_replies(kind))
+            if self.view.number == view.number and not needed:
                 # Those that did not answer may have been replaced meanwhile.
                 await self._read_newer_view()
             if self.view.number == view.number:
                 break
         self._needs_view = True
-        raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}")
-
-    async def _wait_quorum(self, round_: Round, kind: type) -> bool:
+        raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}", answered)
+
+    def _send_round(self, view: View, build: Callable[[Member], KeeperRequest]) -> Round:
+        round_ = Round(view)
+        for member in view.active:
+            message = evolve(build(member), view=view.number)
+            task = self._tasks.spawn(self._ask(member, message))
+            # Failures are logged where they are met, also those that come after a quorum.
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
+            round_.tasks[member] = task
+        return round_
+
+    async def _wait_quorum(
+        self, round_: Round, kind: type, needed: frozenset[Member], seconds: float | None
+    ) -> bool:
         quorum = count_quorum(round_.view, self._tolerated)
+        end = None if seconds is None else self._clock.monotonic() + seconds
         pending = set(round_.tasks.values())
         while pending:
-            _, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            if self.view.number > round_.view.number:
+            left = None if end is None else max(0.0, end - self._clock.monotonic())
+            done, pending = await asyncio.wait(
+                pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            if self.view.number > round_.view.number or not done:
                 return False
-            good = len(round_.list_replies(kind))
-            if good >= quorum:
+            good = round_.list_replies(kind)
+            if len(good) >= quorum and needed <= set(good):
                 return True
-            if good + len(pending) < quorum:
+            hopeful = {m for m, task in round_.tasks.items() if task in pending} | set(good)
+            if len(hopeful) < quorum or not needed <= hopeful:
                 return False
         return False
 
     async def ask_one(self, member: Member, message: KeeperRequest) -> KeeperReply:
         """Ask one member; raises EgretfordError."""
-        return await self._ask(member, evolve(message, view=self.view))
+        return await self._ask(member, evolve(message, view=self.view.number))
 
     async def _ask(self, member: Member, message: KeeperRequest) -> KeeperReply:
+        view = self.view
         try:
             reply = await self._peers.ask(member.address, message, ASK_SECONDS)
+            if isinstance(reply, UnknownView):
+                await self._peers.ask(member.address, AdoptView(view), ASK_SECONDS)
+                reply = await self._peers.ask(member.address, message, ASK_SECONDS)
         except RequestError as error:
             self._log.warning("a keeper failed", keeper=member.name, error=str(error))
             raise
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from attrs import define
+from attrs import define, evolve
 
 from egretford.clock import Clock
 from egretford.entry.keepers import KeeperGroup, KeepersUnavailableError
@@ -21,6 +21,9 @@
 BUDGET_WAIT_SECONDS = 0.1
 # How much longer than a quorum the nearest keeper may take to send a history.
 NEAREST_SECONDS = 0.05
+# A keeper that has not kept a turn after this long is replaced by the next one; a slow disk
+# takes some tens of milliseconds, another region as many.
+COPY_SECONDS = 0.25
 # How often a charge is settled again while too few keepers answer, with a pause between.
 SETTLE_TRIES = 12
 SETTLE_PAUSE_SECONDS = 0.5
@@ -47,6 +50,7 @@
             request_text=self.request.http.body,
             answer_text=answer_text,
             retention=self.route.retention,
+            copies=(),
         )
         await self.turns.keep(self._settle(events), turn)
         self.settled = True
@@ -102,11 +106,10 @@
         admission: TurnAdmission,
     ) -> None:
         for wait in range(BUDGET_WAITS + 1):
-            near = self._keepers.rank_by_distance(self._keepers.list_answering())[:1]
+            holders = self._keepers.rank_copies(charge.program)[: self._keepers.copies]
+            near = self._keepers.rank_by_distance(holders)[:1]
             round_ = await self._keepers.ask_quorum(
-                lambda member, near=near: Reserve(
-                    self._keepers.view, charge, previous, with_chain=member in near
-                ),
+                lambda member, near=near: Reserve(0, charge, previous, with_chain=member in near),
                 Reserved,
             )
             replies: dict[Member, Reserved] = round_.list_replies(Reserved)
@@ -161,7 +164,7 @@
                 lacking.add(member)
                 continue
             try:
-                reply = await self._keepers.ask_one(member, Reserve(view, None, wanted, True))
+                reply = await self._keepers.ask_one(member, Reserve(0, None, wanted, True))
             except EgretfordError:
                 # Logged where it was asked; without its answer nothing is certain.
                 continue
@@ -193,15 +196,42 @@
         return RequestError(ErrorKind.STORE_UNAVAILABLE, "the turn cannot be read now")
 
     async def keep(self, charge: Charge | None, turn: Turn | None) -> None:
-        """Write to the keepers; raises RequestError if too few took it."""
-        try:
-            await self._keepers.ask_quorum(lambda _: Keep(self._keepers.view, charge, turn), Kept)
-        except KeepersUnavailableError as error:
-            raise RequestError(
-                ErrorKind.STORE_UNAVAILABLE,
-                f"the turn could not be kept: {error}",
-                verdict=Verdict.MAY_HAVE_RUN,
-            ) from error
+        """Write to the keepers; raises RequestError if too few took it.
+
+        The charge goes to all. The turn goes to a few near ones, and to further ones where
+        one of these does not answer soon.
+        """
+        silent: set[Member] = set()
+        while True:
+            holders = self._choose_holders(turn, silent)
+            try:
+                await self._write(charge, turn, holders)
+                return
+            except KeepersUnavailableError as error:
+                lacking = {member for member in holders if member not in error.answered}
+                silent |= lacking
+                if not lacking or len(self._choose_holders(turn, silent)) < len(holders):
+                    raise RequestError(
+                        ErrorKind.STORE_UNAVAILABLE,
+                        f"the turn could not be kept: {error}",
+                        verdict=Verdict.MAY_HAVE_RUN,
+                    ) from error
+
+    def _choose_holders(self, turn: Turn | None, silent: set[Member]) -> list[Member]:
+        if turn is None:
+            return []
+        ranked = self._keepers.rank_copies(turn.program)
+        return [m for m in ranked if m not in silent][: self._keepers.copies]
+
+    async def _write(self, charge: Charge | None, turn: Turn | None, holders: list[Member]) -> None:
+        if turn is not None:
+            turn = evolve(turn, copies=tuple(member.name for member in holders))
+        await self._keepers.ask_quorum(
+            lambda member: Keep(0, charge, turn if member in holders else None),
+            Kept,
+            needed=frozenset(holders),
+            seconds=COPY_SECONDS if holders else None,
+        )
 
     def settle_later(self, charge: Charge) -> None:
         """Settle a charge in the background; until then it counts at its most."""
--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -11,15 +11,21 @@
 from egretford.controllers.loops import TaskGroup
 from egretford.errors import EgretfordError
 from egretford.keeper.messages import (
+    AdoptView,
     FetchTurns,
+    KeeperReply,
+    KeeperRequest,
     ListRecords,
     OutdatedView,
     RecordPage,
+    TurnNote,
     TurnPage,
+    UnknownView,
 )
 from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
 from egretford.peer.interface import Peers
+from egretford.policy.copies import must_hold
 from egretford.policy.views import Member
 
 # How often each other keeper is asked; also how soon a silent one is noticed.
@@ -34,7 +40,8 @@
 class Source:
     """What is known of one other keeper; `heard_at` in monotonic seconds.
 
-    `copied_view` is the newest view under which all of its records were copied.
+    `copied_view` is the newest view under which all of its records were copied, `scanned`
+    the members by which its turns were looked through last.
     """
 
     member: Member
@@ -42,6 +49,7 @@
     lifetime: str = ""
     position: int = 0
     copied_view: int = 0
+    scanned: tuple[Member, ...] = ()
     ready: bool = False
 
 
@@ -50,14 +58,18 @@
 
     def __init__(
         self,
+        name: str,
         disk: str,
+        tolerated_losses: int,
         service: KeeperService,
         records: Records,
         peers: Peers,
         clock: Clock,
         log: Any,
     ) -> None:
+        self._name = name
         self._disk = disk
+        self._tolerated = tolerated_losses
         self._service = service
         self._records = records
         self._peers = peers
@@ -121,13 +133,18 @@
     async def _copy_page(self, source: Source) -> bool:
         """Copy one page; returns whether more follows."""
         view = self._service.view
-        message = ListRecords(view, self._disk, source.lifetime, source.position)
-        reply = await self._peers.ask(source.member.address, message, ASK_SECONDS)
-        source.heard_at = self._clock.monotonic()
+        if source.scanned != view.members:
+            # Other members are to hold other turns: look through all of them again.
+            source.position, source.scanned = 0, view.members
+        message = ListRecords(view.number, self._disk, source.lifetime, source.position)
+        reply = await self._ask(source, message)
         match reply:
             case OutdatedView():
                 await self._service.adopt(reply.view)
                 return self.sources.get(source.member.disk) is source
+            case UnknownView():
+                await self._ask(source, AdoptView(view))
+                return True
             case RecordPage():
                 had_all = not reply.charges and not reply.turns
                 await self._take(source, reply)
@@ -138,14 +155,28 @@
                 return not had_all
         return False
 
+    async def _ask(self, source: Source, message: KeeperRequest) -> KeeperReply:
+        reply = await self._peers.ask(source.member.address, message, ASK_SECONDS)
+        source.heard_at = self._clock.monotonic()
+        return reply
+
     async def _take(self, source: Source, page: RecordPage) -> None:
         # One source at a time, so that no turn comes twice over a narrow link.
         async with self._fetching:
-            while missing := self._records.list_missing(page.turns):
-                message = FetchTurns(self._service.view, tuple(missing[:MAX_FETCH_IDS]))
-                reply = await self._peers.ask(source.member.address, message, ASK_SECONDS)
+            while missing := self._list_missing(page.turns):
+                message = FetchTurns(self._service.view.number, tuple(missing[:MAX_FETCH_IDS]))
+                reply = await self._ask(source, message)
                 if not isinstance(reply, TurnPage) or not reply.turns:
                     break
                 await self._records.write(list(reply.turns))
         await self._records.write(list(page.charges))
         source.lifetime, source.position = page.lifetime, page.position
+
+    def _list_missing(self, notes: tuple[TurnNote, ...]) -> list[str]:
+        view = self._service.view
+        return [
+            note.id
+            for note in notes
+            if not self._records.holds(note.id)
+            and must_hold(view, self._name, note.id, note.copies, self._tolerated)
+        ]
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -51,7 +51,14 @@
             me.address, self._service.answer, self._make_logger("peer"), KeeperRequest, KeeperReply
         )
         self._copying = Copying(
-            disk, self._service, self._records, self._peers, clock, self._make_logger("copying")
+            settings.name,
+            disk,
+            settings.tolerated_losses,
+            self._service,
+            self._records,
+            self._peers,
+            clock,
+            self._make_logger("copying"),
         )
         self._store = MetadataStore(settings.store_address, clock)
         health = StoreHealth(clock, self._make_logger("store"))
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -17,7 +17,7 @@
     """A turn that was answered whole; it never changes.
 
     `request_text` and `answer_text` are what the next turn's prompt repeats of it;
-    `retention` is in seconds.
+    `retention` is in seconds, `copies` names the instances whose keepers were to hold it.
     """
 
     id: str
@@ -26,19 +26,28 @@
     request_text: bytes
     answer_text: bytes
     retention: float
+    copies: tuple[str, ...]
 
 
 Record = Charge | Turn
 
 
+@frozen
+class AdoptView:
+    """Tells a keeper of a newer view."""
+
+    view: View
+
+
 @frozen
 class Reserve:
     """Reserves a turn's charge; `previous` asks for that turn's chain.
 
-    Without `charge` only the chain is asked for.
+    Without `charge` only the chain is asked for. `view` is the number of the asker's view,
+    here and in the other requests.
     """
 
-    view: View
+    view: int
     charge: Charge | None
     previous: str | None
     with_chain: bool
@@ -51,7 +60,6 @@
     `missing` names the first turn of the chain that is not held here.
     """
 
-    view: View
     charges: tuple[Charge, ...]
     chain: tuple[Turn, ...]
     missing: str | None
@@ -61,7 +69,7 @@
 class Keep:
     """Settles a charge, and keeps a turn."""
 
-    view: View
+    view: int
     charge: Charge | None
     turn: Turn | None
 
@@ -70,7 +78,13 @@
 class Kept:
     """All of it is synced."""
 
-    view: View
+
+@frozen
+class TurnNote:
+    """A turn without its texts."""
+
+    id: str
+    copies: tuple[str, ...]
 
 
 @frozen
@@ -80,7 +94,7 @@
     `asker` is the asking keeper's disk.
     """
 
-    view: View
+    view: int
     asker: str
     lifetime: str
     position: int
@@ -93,11 +107,10 @@
     `ready` tells whether the keeper holds all that it is to hold.
     """
 
-    view: View
     lifetime: str
     position: int
     charges: tuple[Charge, ...]
-    turns: tuple[str, ...]
+    turns: tuple[TurnNote, ...]
     more: bool
     ready: bool
 
@@ -106,7 +119,7 @@
 class FetchTurns:
     """Asks for turns by id."""
 
-    view: View
+    view: int
     ids: tuple[str, ...]
 
 
@@ -114,7 +127,6 @@
 class TurnPage:
     """The turns that are held, as many as fit."""
 
-    view: View
     turns: tuple[Turn, ...]
 
 
@@ -122,7 +134,7 @@
 class ShareCrashes:
     """Tells of workers that went down under a request, and asks what others saw."""
 
-    view: View
+    view: int
     seen: tuple[Crash, ...]
 
 
@@ -130,7 +142,6 @@
 class CrashList:
     """All crashes known; soft state, empty after a restart."""
 
-    view: View
     crashes: tuple[Crash, ...]
 
 
@@ -141,17 +152,29 @@
     view: View
 
 
+@frozen
+class UnknownView:
+    """The request came under a newer view than this keeper knows; tell it that view first."""
+
+
 @frozen
 class NotReady:
     """This keeper may lack records that it is to hold, and cannot answer yet."""
 
-    view: View
     reason: str
 
 
-KeeperRequest = Reserve | Keep | ListRecords | FetchTurns | ShareCrashes
+KeeperRequest = AdoptView | Reserve | Keep | ListRecords | FetchTurns | ShareCrashes
 KeeperReply = (
-    Reserved | Kept | RecordPage | TurnPage | CrashList | OutdatedView | NotReady | ErrorReply
+    Reserved
+    | Kept
+    | RecordPage
+    | TurnPage
+    | CrashList
+    | OutdatedView
+    | UnknownView
+    | NotReady
+    | ErrorReply
 )
 
 for union in (Record, KeeperRequest, KeeperReply):
--- a/egretford/keeper/records.py
+++ b/egretford/keeper/records.py
@@ -11,7 +11,7 @@
 from egretford.clock import Clock
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.keeper.log import DiskLog
-from egretford.keeper.messages import Record, Turn
+from egretford.keeper.messages import Record, Turn, TurnNote
 from egretford.policy.ledger import Charge, Ledger
 
 # Records are kept a while longer than asked, since other keepers took them at other times.
@@ -132,16 +132,16 @@
             lasting = now + turn.retention + RETENTION_MARGIN_SECONDS
             held.expires_at = max(held.expires_at, lasting)
 
-    def list_after(self, position: int) -> tuple[list[Charge], list[str], int, bool]:
-        """Return charges and turn ids taken after a position, the last one, and if more follow."""
+    def list_after(self, position: int) -> tuple[list[Charge], list[TurnNote], int, bool]:
+        """Return charges and turns taken after a position, the last one, and if more follow."""
         charges: list[Charge] = []
-        turns: list[str] = []
+        turns: list[TurnNote] = []
         last = position
         for key, at in self._iterate_after(position):
             if len(charges) + len(turns) >= PAGE_RECORDS:
                 return charges, turns, last, True
             if key[0] == "turn":
-                turns.append(key[1])
+                turns.append(TurnNote(key[1], self._turns[key[1]].turn.copies))
             else:
                 charges.append(self._ledgers[key[1]].ledger.charges[key[2]])
             last = at
@@ -170,9 +170,9 @@
             found.append(held.turn)
         return found
 
-    def list_missing(self, ids: tuple[str, ...]) -> list[str]:
-        """Return the ids of turns that are not held here."""
-        return [turn_id for turn_id in ids if turn_id not in self._turns]
+    def holds(self, turn_id: str) -> bool:
+        """Whether a turn is held here."""
+        return turn_id in self._turns
 
     # Expiry
 
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -10,6 +10,7 @@
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.keeper.log import DiskError, write_file_durably
 from egretford.keeper.messages import (
+    AdoptView,
     CrashList,
     FetchTurns,
     Keep,
@@ -24,6 +25,7 @@
     Reserved,
     ShareCrashes,
     TurnPage,
+    UnknownView,
 )
 from egretford.keeper.records import Records
 from egretford.policy.crashes import CrashTable
@@ -84,22 +86,24 @@
 
     async def answer(self, message: KeeperRequest) -> KeeperReply:
         """Answer one request."""
-        if message.view.number > self.view.number:
+        if isinstance(message, AdoptView):
             await self.adopt(message.view)
-        view = self.view
-        if message.view.number < view.number:
-            return OutdatedView(view)
+            return Kept()
+        if message.view < self.view.number:
+            return OutdatedView(self.view)
+        if message.view > self.view.number:
+            return UnknownView()
         match message:
             case ListRecords():
                 return self._list(message)
             case FetchTurns():
-                return TurnPage(view, tuple(self._records.find_turns(message.ids)))
+                return TurnPage(tuple(self._records.find_turns(message.ids)))
             case ShareCrashes():
                 now = self._clock.monotonic()
                 self._crashes.learn(message.seen, now)
-                return CrashList(view, self._crashes.list_recent(now))
+                return CrashList(self._crashes.list_recent(now))
             case _ if not self.ready:
-                return NotReady(view, "copying records from other keepers")
+                return NotReady("copying records from other keepers")
             case Reserve():
                 return await self._reserve(message)
             case Keep():
@@ -109,7 +113,7 @@
         charge = message.charge
         if charge is not None:
             await self._records.write([charge])
-            if message.view.number < self.view.number:
+            if message.view < self.view.number:
                 return OutdatedView(self.view)
         chain, missing = (), None
         if message.previous is not None:
@@ -117,21 +121,20 @@
             if missing is None:
                 self._records.renew_chain(chain)
         charges = self._records.list_charges(charge.program) if charge is not None else ()
-        return Reserved(self.view, charges, chain if message.with_chain else (), missing)
+        return Reserved(charges, chain if message.with_chain else (), missing)
 
     async def _keep(self, message: Keep) -> KeeperReply:
         records = [record for record in (message.charge, message.turn) if record is not None]
         await self._records.write(records)
-        if message.view.number < self.view.number:
+        if message.view < self.view.number:
             return OutdatedView(self.view)
-        return Kept(self.view)
+        return Kept()
 
     def _list(self, message: ListRecords) -> RecordPage:
         position = message.position if message.lifetime == self._records.lifetime else 0
-        self.copied_by[message.asker] = (message.view.number, position)
+        self.copied_by[message.asker] = (message.view, position)
         charges, turns, last, more = self._records.list_after(position)
         return RecordPage(
-            self.view,
             self._records.lifetime,
             last,
             tuple(charges),
--- a/egretford/platform/feeds.py
+++ b/egretford/platform/feeds.py
@@ -25,6 +25,8 @@
 UNSURE_WATCH_SECONDS = 1.0
 UNSURE_SECONDS = 10.0
 RETRY_SECONDS = 0.3
+# Changes often come in groups; a pause after each answer saves calls, which have their price.
+GROUP_SECONDS = 0.2
 
 
 class StoreHealth:
@@ -121,6 +123,8 @@
         for change in answer.changes:
             self._handler.change(change.object, change.removed)
         self._revision = answer.revision
+        if answer.changes:
+            await self._clock.sleep(GROUP_SECONDS)
 
 
 class ConfigurationHandler:
--- a/scripts/measure_peers.py
+++ b/scripts/measure_peers.py
@@ -9,7 +9,6 @@
 from egretford.peer.sockets import PeerClient, PeerServer
 from egretford.peer.streams import StreamPeerClient, StreamPeerServer
 from egretford.policy.ledger import Charge
-from egretford.policy.views import Member, View
 
 ROUNDS = 2_000
 WARM_UP = 100
@@ -22,7 +21,7 @@
 
 
 async def _answer(message: Reserve) -> Reserved:
-    return Reserved(message.view, (message.charge,) * 8, (), None)
+    return Reserved((message.charge,) * 8, (), None)
 
 
 async def measure(client_class: type, server_class: type, port: int) -> None:
@@ -31,8 +30,7 @@
     server = server_class(address, _answer, _NoLog(), KeeperRequest, KeeperReply)
     client = client_class(KeeperRequest, KeeperReply)
     await server.start()
-    members = tuple(Member(f"keeper-{n}", "d" * 32, address, "north-a") for n in range(3))
-    message = Reserve(View(3, members), Charge("p" * 14, "r" * 16, 576), None, True)
+    message = Reserve(3, Charge("p" * 14, "r" * 16, 576), None, True)
     for _ in range(WARM_UP):
         await client.ask(address, message, 1.0)
     wall, processor = time.perf_counter(), time.process_time()
--- a/tests/keeper/test_copying.py
+++ b/tests/keeper/test_copying.py
@@ -57,7 +57,9 @@
     members = tuple(Member(n, n, n, n, MemberState.ACTIVE) for n in ("a", "b", "new"))
     view = View(4, members)
     services, held = {}, {}
-    turns = [Turn(f"t{n}", None, "p", b"q" * 5_000, b"a" * 1_500, 60.0) for n in range(600)]
+    turns = [
+        Turn(f"t{n}", None, "p", b"q" * 5_000, b"a" * 1_500, 60.0, ("a", "new")) for n in range(600)
+    ]
     charges = [Charge(f"p{n}", f"t{n}", 5, settled=True) for n in range(1_200)]
     for name in ("a", "b", "new"):
         services[name], held[name] = make_service(tmp_path / name, name)
@@ -65,7 +67,7 @@
     for name in ("a", "b"):
         await held[name].write([*turns, *charges])
     link = NarrowLink(services)
-    copying = Copying("new", services["new"], held["new"], link, SystemClock(), NullLog())
+    copying = Copying("new", "new", 1, services["new"], held["new"], link, SystemClock(), NullLog())
     await copying.start()
     async with asyncio.timeout(CATCH_UP_SECONDS):
         while any(source.copied_view < 4 for source in copying.sources.values()):
--- a/tests/keeper/test_records.py
+++ b/tests/keeper/test_records.py
@@ -28,7 +28,7 @@
 
 
 def make_turn(number, previous=None, size=100):
-    return Turn(f"t{number}", previous, "p", b"q" * size, b"a" * size, retention=60.0)
+    return Turn(f"t{number}", previous, "p", b"q" * size, b"a" * size, 60.0, ("a", "b"))
 
 
 async def test_chains_and_charges_survive_a_restart(tmp_path):
@@ -86,7 +86,7 @@
     position, found, more = 0, [], True
     while more:
         _, turns, position, more = records.list_after(position)
-        found += turns
+        found += [note.id for note in turns]
     assert found == [f"t{n}" for n in range(7)]
     await records.write([Charge("p", "t1", 5)])
     charges, turns, _, _ = records.list_after(position)
--- a/tests/peer/test_streams.py
+++ b/tests/peer/test_streams.py
@@ -9,11 +9,10 @@
 from egretford.errors import PeerUnreachableError
 from egretford.keeper.messages import FetchTurns, KeeperReply, KeeperRequest, TurnPage
 from egretford.peer.streams import LENGTH, StreamPeerClient, StreamPeerServer
-from egretford.policy.views import View
 from tests.platform.deployment import find_free_port
 from tests.platform.standins import NullLog
 
-VIEW = View(1)
+VIEW = 1
 
 
 async def serve(handle):
@@ -26,7 +25,7 @@
 async def answer(message):
     if message.ids:
         await asyncio.sleep(float(message.ids[0]))
-    return TurnPage(message.view, ())
+    return TurnPage(())
 
 
 async def test_many_requests_share_a_connection_and_answers_may_cross():
