Choose among workers that seem alike by the program's hash

Change: a hash of the program breaks ties, and names where its history is taken to be; the worker list is read at most about once a second.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -10,6 +10,7 @@
 from attrs import Factory, define, field
 
 from egretford.clock import Clock
+from egretford.entry.choice import choose_worker
 from egretford.entry.events import EventError, EventSplitter, StreamEvent
 from egretford.entry.models import CallerRequest, Route, RouteKind, WorkerReply
 from egretford.entry.workers import TrackedWorker, WorkerTable
@@ -30,7 +31,7 @@
 from egretford.http.messages import Headers
 from egretford.http.server import Responder
 from egretford.platform.wire import decode_reply, encode_request
-from egretford.policy.placement import Placement, PlacementRequest
+from egretford.policy.placement import Placement
 
 # A connection that may have gone silent is only reused for calls that may be sent again;
 # for others it must have been in use this lately.
@@ -128,18 +129,8 @@
         candidates = [t for t in usable if t.worker.id not in job.excluded]
         if not candidates:
             raise job.refuse(ErrorKind.OVERLOADED, f"no worker of {job.upstream} takes the request")
+        chosen, wanted = choose_worker(job.request, candidates, self._placement, self._region)
         request = job.request
-        wanted = PlacementRequest(
-            program=request.program,
-            prompt_tokens=request.prompt_tokens,
-            cached={
-                t.worker.id: cached
-                for t in candidates
-                if (cached := t.cache.count_cached(request.prompt))
-            },
-            region=self._region,
-        )
-        chosen = min(candidates, key=lambda t: self._placement.estimate_cost(t.state, wanted))
         self._log.info(
             "chose a worker",
             request=request.id,
@@ -148,7 +139,7 @@
             running=chosen.state.running,
             cached=wanted.cached.get(chosen.worker.id, 0),
             prompt=request.prompt_tokens,
-            load_age_s=round(self._clock.monotonic() - chosen.reported_at, 3),
+            load_age_s=chosen.measure_load_age(self._clock.monotonic()),
         )
         return chosen
 
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -35,7 +35,7 @@
     cache: PrefixCache
     idle: list[ClientConnection] = Factory(list)
     remove_at: float | None = None
-    reported_at: float = 0.0
+    reported_at: float | None = None
     failures: int = 0
 
     def note_load(self, load: WorkerLoad, now: float) -> None:
@@ -50,9 +50,13 @@
 
     def expire_load(self, now: float) -> None:
         """Forget an old load report."""
-        if now - self.reported_at > LOAD_REPORT_SECONDS:
+        if self.reported_at is not None and now - self.reported_at > LOAD_REPORT_SECONDS:
             self.state.foreign = 0
 
+    def measure_load_age(self, now: float) -> float | None:
+        """Return how old the load report is, in seconds, or None if there is none."""
+        return None if self.reported_at is None else round(now - self.reported_at, 3)
+
     def close_idle(self) -> None:
         """Close the connections that wait for use."""
         for connection in self.idle:
--- a/egretford/platform/feeds.py
+++ b/egretford/platform/feeds.py
@@ -26,7 +26,9 @@
 UNSURE_SECONDS = 10.0
 RETRY_SECONDS = 0.3
 # Changes often come in groups; a pause after each answer saves calls, which have their price.
-GROUP_SECONDS = 0.2
+# Leaving workers may get calls for 2.5 s, configurations must be in force within 2.5 s.
+CONFIGURATION_PAUSE_SECONDS = 0.2
+WORKERS_PAUSE_SECONDS = 0.8
 
 
 class StoreHealth:
@@ -82,7 +84,9 @@
         health: StoreHealth,
         clock: Clock,
         log: Any,
+        pause: float = CONFIGURATION_PAUSE_SECONDS,
     ) -> None:
+        self._pause = pause
         self._store = store
         self._kind = kind
         self._handler = handler
@@ -124,7 +128,7 @@
             self._handler.change(change.object, change.removed)
         self._revision = answer.revision
         if answer.changes:
-            await self._clock.sleep(GROUP_SECONDS)
+            await self._clock.sleep(self._pause)
 
 
 class ConfigurationHandler:
@@ -210,4 +214,5 @@
     store: MetadataStore, listener: WorkerListener, health: StoreHealth, clock: Clock, log: Any
 ) -> ObjectFeed:
     """Return a feed of the worker list."""
-    return ObjectFeed(store, WORKERS_KIND, WorkersHandler(listener, log), health, clock, log)
+    handler = WorkersHandler(listener, log)
+    return ObjectFeed(store, WORKERS_KIND, handler, health, clock, log, pause=WORKERS_PAUSE_SECONDS)
