--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -52,7 +52,7 @@
         told, self._unshared = tuple(self._unshared), []
         for member in members if told else members[:1]:
             try:
-                reply = await self._keepers.ask_one(member, ShareCrashes(0, told))
+                reply = await self._keepers.ask_one(member, ShareCrashes(told))
             except EgretfordError:
                 # Logged where it was asked; the other keepers were told as well.
                 continue
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -109,7 +109,7 @@
             holders = self._keepers.rank_copies(charge.program)[: self._keepers.copies]
             near = self._keepers.rank_by_distance(holders)[:1]
             round_ = await self._keepers.ask_quorum(
-                lambda member, near=near: Reserve(0, charge, previous, with_chain=member in near),
+                lambda member, near=near: Reserve(charge, previous, with_chain=member in near),
                 Reserved,
             )
             replies: dict[Member, Reserved] = round_.list_replies(Reserved)
@@ -164,7 +164,7 @@
                 lacking.add(member)
                 continue
             try:
-                reply = await self._keepers.ask_one(member, Reserve(0, None, wanted, True))
+                reply = await self._keepers.ask_one(member, Reserve(None, wanted, with_chain=True))
             except EgretfordError:
                 # Logged where it was asked; without its answer nothing is certain.
                 continue
@@ -227,7 +227,7 @@
         if turn is not None:
             turn = evolve(turn, copies=tuple(member.name for member in holders))
         await self._keepers.ask_quorum(
-            lambda member: Keep(0, charge, turn if member in holders else None),
+            lambda member: Keep(charge, turn if member in holders else None),
             Kept,
             needed=frozenset(holders),
             seconds=COPY_SECONDS if holders else None,
--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -136,7 +136,7 @@
         if source.scanned != view.members:
             # Other members are to hold other turns: look through all of them again.
             source.position, source.scanned = 0, view.members
-        message = ListRecords(view.number, self._disk, source.lifetime, source.position)
+        message = ListRecords(self._disk, source.lifetime, source.position, view=view.number)
         reply = await self._ask(source, message)
         match reply:
             case OutdatedView():
@@ -164,7 +164,7 @@
         # One source at a time, so that no turn comes twice over a narrow link.
         async with self._fetching:
             while missing := self._list_missing(page.turns):
-                message = FetchTurns(self._service.view.number, tuple(missing[:MAX_FETCH_IDS]))
+                message = FetchTurns(tuple(missing[:MAX_FETCH_IDS]), view=self._service.view.number)
                 reply = await self._ask(source, message)
                 if not isinstance(reply, TurnPage) or not reply.turns:
                     break
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import field, frozen
 from cattrs.strategies import configure_tagged_union
 
 from egretford.codec import converter
@@ -44,13 +44,13 @@
     """Reserves a turn's charge; `previous` asks for that turn's chain.
 
     Without `charge` only the chain is asked for. `view` is the number of the asker's view,
-    here and in the other requests.
+    here and in the other requests; it is set as the request is sent.
     """
 
-    view: int
     charge: Charge | None
     previous: str | None
     with_chain: bool
+    view: int = field(default=0, kw_only=True)
 
 
 @frozen
@@ -69,9 +69,9 @@
 class Keep:
     """Settles a charge, and keeps a turn."""
 
-    view: int
     charge: Charge | None
     turn: Turn | None
+    view: int = field(default=0, kw_only=True)
 
 
 @frozen
@@ -94,10 +94,10 @@
     `asker` is the asking keeper's disk.
     """
 
-    view: int
     asker: str
     lifetime: str
     position: int
+    view: int = field(default=0, kw_only=True)
 
 
 @frozen
@@ -119,8 +119,8 @@
 class FetchTurns:
     """Asks for turns by id."""
 
-    view: int
     ids: tuple[str, ...]
+    view: int = field(default=0, kw_only=True)
 
 
 @frozen
@@ -134,8 +134,8 @@
 class ShareCrashes:
     """Tells of workers that went down under a request, and asks what others saw."""
 
-    view: int
     seen: tuple[Crash, ...]
+    view: int = field(default=0, kw_only=True)
 
 
 @frozen
--- a/scripts/measure_peers.py
+++ b/scripts/measure_peers.py
@@ -30,7 +30,7 @@
     server = server_class(address, _answer, _NoLog(), KeeperRequest, KeeperReply)
     client = client_class(KeeperRequest, KeeperReply)
     await server.start()
-    message = Reserve(3, Charge("p" * 14, "r" * 16, 576), None, True)
+    message = Reserve(Charge("p" * 14, "r" * 16, 576), None, True, view=3)
     for _ in range(WARM_UP):
         await client.ask(address, message, 1.0)
     wall, processor = time.perf_counter(), time.process_time()
--- a/tests/peer/test_streams.py
+++ b/tests/peer/test_streams.py
@@ -12,8 +12,6 @@
 from tests.platform.deployment import find_free_port
 from tests.platform.standins import NullLog
 
-VIEW = 1
-
 
 async def serve(handle):
     address = f"tcp://127.0.0.1:{find_free_port()}"
@@ -30,8 +28,8 @@
 
 async def test_many_requests_share_a_connection_and_answers_may_cross():
     address, server, client = await serve(answer)
-    slow = asyncio.create_task(client.ask(address, FetchTurns(VIEW, ("0.3",)), 1.0))
-    assert isinstance(await client.ask(address, FetchTurns(VIEW, ()), 0.2), TurnPage)
+    slow = asyncio.create_task(client.ask(address, FetchTurns(("0.3",)), 1.0))
+    assert isinstance(await client.ask(address, FetchTurns(()), 0.2), TurnPage)
     assert not slow.done()
     assert isinstance(await slow, TurnPage)
     await client.close()
@@ -41,21 +39,21 @@
 async def test_a_silent_connection_is_replaced():
     address, server, client = await serve(answer)
     with pytest.raises(PeerUnreachableError):
-        await client.ask(address, FetchTurns(VIEW, ("5",)), 0.1)
-    assert isinstance(await client.ask(address, FetchTurns(VIEW, ()), 0.5), TurnPage)
+        await client.ask(address, FetchTurns(("5",)), 0.1)
+    assert isinstance(await client.ask(address, FetchTurns(()), 0.5), TurnPage)
     await client.close()
     await server.close()
 
 
 async def test_a_peer_that_is_gone_and_back_is_reached_again():
     address, server, client = await serve(answer)
-    await client.ask(address, FetchTurns(VIEW, ()), 0.5)
+    await client.ask(address, FetchTurns(()), 0.5)
     await server.close()
     with pytest.raises(PeerUnreachableError):
-        await client.ask(address, FetchTurns(VIEW, ()), 0.5)
+        await client.ask(address, FetchTurns(()), 0.5)
     server = StreamPeerServer(address, answer, NullLog(), KeeperRequest, KeeperReply)
     await server.start()
-    assert isinstance(await client.ask(address, FetchTurns(VIEW, ()), 0.5), TurnPage)
+    assert isinstance(await client.ask(address, FetchTurns(()), 0.5), TurnPage)
     await client.close()
     await server.close()
 
@@ -67,7 +65,7 @@
     writer.write(LENGTH.pack(2**31) + b"x")
     assert await reader.read() == b""
     writer.close()
-    assert isinstance(await client.ask(address, FetchTurns(VIEW, ()), 0.5), TurnPage)
+    assert isinstance(await client.ask(address, FetchTurns(()), 0.5), TurnPage)
     await client.close()
     await server.close()
 
@@ -78,6 +76,6 @@
 
     address, server, client = await serve(fail)
     with pytest.raises(Exception, match="a fault"):
-        await client.ask(address, FetchTurns(VIEW, ()), 0.5)
+        await client.ask(address, FetchTurns(()), 0.5)
     await client.close()
     await server.close()
