--- a/tests/keeper/test_copying.py
+++ b/tests/keeper/test_copying.py
@@ -9,7 +9,7 @@
 from egretford.errors import PeerUnreachableError
 from egretford.keeper.copying import Copying
 from egretford.keeper.log import DiskLog
-from egretford.keeper.messages import FetchTurns, KeeperReply, Turn
+from egretford.keeper.messages import FetchTurns, KeeperReply, RecordPage, Turn
 from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
 from egretford.policy.ledger import Charge
@@ -27,10 +27,13 @@
         self.services = services
         self.free_at = 0.0
         self.fetched = []
+        self.charges = 0
 
     async def ask(self, address, message, seconds):
         loop = asyncio.get_running_loop()
         reply = await self.services[address].answer(message)
+        if isinstance(reply, RecordPage):
+            self.charges += len(reply.charges)
         if isinstance(message, FetchTurns):
             self.fetched += [turn.id for turn in reply.turns]
         size = len(encode_bytes(reply, KeeperReply))
@@ -77,3 +80,28 @@
     assert held["new"].counts["programs"] == 1_200
     # No turn came twice.
     assert len(link.fetched) == 600
+
+
+async def test_a_change_of_view_sends_no_charge_again(tmp_path):
+    """What was copied stays copied; only who is to hold which turn changes with the members."""
+    members = tuple(Member(n, n, n, n, MemberState.ACTIVE) for n in ("a", "new"))
+    services, held = {}, {}
+    for name in ("a", "new"):
+        services[name], held[name] = make_service(tmp_path / name, name)
+        await services[name].adopt(View(4, members))
+    await held["a"].write([Charge(f"p{n}", f"t{n}", 5, settled=True) for n in range(300)])
+    link = NarrowLink(services)
+    copying = Copying("new", "new", 1, services["new"], held["new"], link, SystemClock(), NullLog())
+    await copying.start()
+    async with asyncio.timeout(CATCH_UP_SECONDS):
+        while copying.sources["a"].copied_view < 4:
+            await asyncio.sleep(0.05)
+    link.charges = 0
+    joining = Member("b", "b", "b", "b", MemberState.JOINING)
+    for name in ("a", "new"):
+        await services[name].adopt(View(5, (*members, joining)))
+    async with asyncio.timeout(CATCH_UP_SECONDS):
+        while copying.sources["a"].copied_view < 5:
+            await asyncio.sleep(0.05)
+    await copying.close()
+    assert link.charges == 0
