--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -279,3 +279,22 @@
         answer = await caller.ask("/book/1", body=b"bad", request_id=f"again{number}")
         assert answer.status == 503
         assert not deployment.arrivals(f"again{number}")
+
+
+async def test_a_stream_that_breaks_at_a_living_worker_runs_on_no_more_than_its_route_allows(
+    deployment,
+):
+    broken = set()
+
+    async def break_off_once(worker, arrival, responder):
+        if arrival.request_id in broken:
+            return False
+        broken.add(arrival.request_id)
+        await worker.stream(arrival, responder, upto=3)
+        return True
+
+    for worker in deployment.workers[:2]:
+        worker.script = break_off_once
+    await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    ran_on = [w.id for w in deployment.workers if any(a.request_id == "p1" for a in w.arrivals)]
+    assert len(ran_on) == 1
