Say request limits once; drop what nothing reads

Cause: a reading of the whole change. The configuration's bounds and the server's limits were the same four fields, copied one by one; the server's name, an empty task group, a response count, two disk counters and PrefixCache.clear were written or kept and never read; the first worker by hash was searched for again; the two test stand-ins repeated how they listen. No assertion, bound or check was changed.

--- a/egretford/cli/platform_daemons.py
+++ b/egretford/cli/platform_daemons.py
@@ -12,7 +12,8 @@
 from egretford.clock import SystemClock
 from egretford.errors import InputError
 from egretford.exposition import MetricsPage
-from egretford.http.server import HttpServer, RequestLimits
+from egretford.http.limits import RequestLimits
+from egretford.http.server import HttpServer
 from egretford.instance import InstanceSettings
 from egretford.logs import make_logger, writer
 from egretford.metrics import Metrics
@@ -48,7 +49,7 @@
     log = make_logger("daemon", instance=settings.name)
     clock, metrics = SystemClock(), Metrics()
     daemon = _build(role, settings, clock, metrics)
-    page = HttpServer(MetricsPage(metrics).handle, RequestLimits(), clock, log, name="metrics")
+    page = HttpServer(MetricsPage(metrics).handle, RequestLimits(), clock, log)
     loop = asyncio.get_running_loop()
     leaving = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/egretford/entry/choice.py
+++ b/egretford/entry/choice.py
@@ -27,15 +27,15 @@
     """
     key = request.program or request.id
     near = [t for t in candidates if placement.region_of(t.worker) == region] or candidates
-    ranks = {name: rank for rank, name in enumerate(rank_by_hash(key, (t.worker.id for t in near)))}
+    order = rank_by_hash(key, (t.worker.id for t in near))
+    ranks = {name: rank for rank, name in enumerate(order)}
     cached = {
         t.worker.id: tokens for t in candidates if (tokens := t.cache.count_cached(request.prompt))
     }
     history = sum(part.tokens for part in request.prompt[:-1])
     known = max(cached.values(), default=0)
     if len(request.prompt) > FIRST_TURN_PARTS and known < history:
-        home = min(ranks, key=ranks.get)
-        cached[home] = history
+        cached[order[0]] = history
     wanted = PlacementRequest(
         program=request.program,
         prompt_tokens=request.prompt_tokens,
--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -6,15 +6,15 @@
 from typing import Any
 
 from egretford.clock import Clock
-from egretford.controllers.loops import TaskGroup
 from egretford.entry.crashes import SharedCrashes
 from egretford.entry.forwarding import Forwarder
 from egretford.entry.gateway import Gateway
 from egretford.entry.keepers import KeeperGroup
 from egretford.entry.turns import Turns
 from egretford.entry.workers import WorkerTable
+from egretford.http.limits import RequestLimits
 from egretford.http.messages import Headers, HttpRequest
-from egretford.http.server import HttpServer, RequestLimits, Responder
+from egretford.http.server import HttpServer, Responder
 from egretford.instance import InstanceSettings
 from egretford.keeper.messages import KeeperReply, KeeperRequest
 from egretford.logs import make_logger
@@ -42,7 +42,6 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._tasks = TaskGroup()
         self._log = self._make_logger("entry")
         self._store = MetadataStore(settings.store_address, clock)
         self._health = StoreHealth(clock, self._make_logger("store"))
@@ -76,11 +75,9 @@
             self._make_logger("gateway"),
         )
         limits = RequestLimits()
-        self._callers = HttpServer(
-            self.gateway.handle, limits, clock, self._make_logger("callers"), name="callers"
-        )
+        self._callers = HttpServer(self.gateway.handle, limits, clock, self._make_logger("callers"))
         self._readiness = HttpServer(
-            self._answer_readiness, limits, clock, self._make_logger("readiness"), name="readiness"
+            self._answer_readiness, limits, clock, self._make_logger("readiness")
         )
         self.gateway.attach(self._callers)
         feed_log = self._make_logger("feeds")
@@ -147,7 +144,6 @@
         await self._keepers.close()
         await self._peers.close()
         await self._store.close()
-        await self._tasks.close()
 
     async def _answer_readiness(self, http: HttpRequest, responder: Responder) -> None:
         ready = self.is_ready
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -14,7 +14,7 @@
 from egretford.entry.workers import WorkerTable
 from egretford.errors import HTTP_STATUS, ErrorKind, RequestError, Verdict
 from egretford.http.messages import Headers, HttpRequest
-from egretford.http.server import CallerGoneError, HttpServer, RequestLimits, Responder
+from egretford.http.server import CallerGoneError, HttpServer, Responder
 from egretford.metrics import Metrics
 from egretford.platform.wire import decode_request, encode_refusal_fields
 from egretford.policy.crashes import Crash, make_fingerprint
@@ -70,10 +70,7 @@
         self._workers.learn_configuration(table)
         self._index = RouteIndex(table)
         if self._server is not None:
-            bounds = table.bounds
-            self._server.limits = RequestLimits(
-                bounds.header_bytes, bounds.body_bytes, bounds.header_timeout, bounds.idle_timeout
-            )
+            self._server.limits = table.limits
         self._log.info(
             "put a configuration in force",
             version=table.version,
--- a/egretford/entry/models.py
+++ b/egretford/entry/models.py
@@ -6,6 +6,7 @@
 
 from attrs import Factory, field, frozen
 
+from egretford.http.limits import RequestLimits
 from egretford.http.messages import HttpRequest
 
 
@@ -66,16 +67,6 @@
     engine: EngineProfile | None = None
 
 
-@frozen
-class RequestBounds:
-    """What a caller may send; sizes in bytes, times in seconds."""
-
-    header_bytes: int
-    body_bytes: int
-    header_timeout: float
-    idle_timeout: float
-
-
 @frozen
 class RoutingTable:
     """One version of the configuration."""
@@ -83,7 +74,7 @@
     version: int
     routes: tuple[Route, ...]
     upstreams: dict[str, Upstream]
-    bounds: RequestBounds
+    limits: RequestLimits
 
 
 @frozen
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -56,7 +56,6 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.reusable = True
-        self.responses = 0
         self.idle_since = 0.0
         self.idle_limit: float | None = None
         self._transport: asyncio.Transport | None = None
@@ -104,8 +103,6 @@
             self._buffered -= len(event.data)
             if self._buffered < HIGH_WATER_BYTES and not self._closed:
                 self._transport.resume_reading()
-        elif isinstance(event, BodyEnd):
-            self.responses += 1
         return event
 
     def finish(self, now: float) -> None:
--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -8,10 +8,10 @@
 from typing import Any
 
 import httptools
-from attrs import define
 
 from egretford.clock import Clock
 from egretford.http.client import set_socket_options
+from egretford.http.limits import RequestLimits
 from egretford.http.messages import (
     LAST_CHUNK,
     Headers,
@@ -27,16 +27,6 @@
 MAX_PIPELINED = 16
 
 
-@define
-class RequestLimits:
-    """What a caller may send, and how long it may take; sizes in bytes, times in seconds."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout: float = 3.0
-    idle_timeout: float = 15.0
-
-
 Handler = Callable[[HttpRequest, "Responder"], Awaitable[None]]
 
 
@@ -103,14 +93,11 @@
 class HttpServer:
     """Listens and hands whole requests to a handler."""
 
-    def __init__(
-        self, handle: Handler, limits: RequestLimits, clock: Clock, log: Any, *, name: str
-    ) -> None:
+    def __init__(self, handle: Handler, limits: RequestLimits, clock: Clock, log: Any) -> None:
         self.handle = handle
         self.limits = limits
         self.clock = clock
         self.log = log
-        self.name = name
         self.draining = False
         self.connections: set[_ServerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/egretford/keeper/log.py
+++ b/egretford/keeper/log.py
@@ -59,8 +59,6 @@
     _pending_bytes: int = 0
     _writing: asyncio.Task[None] | None = None
     _executor: ThreadPoolExecutor = Factory(lambda: ThreadPoolExecutor(1, "disk"))
-    synced_bytes: int = 0
-    syncs: int = 0
 
     def open(self) -> Iterator[tuple[int, bytes]]:
         """Read all records, as (segment number, record); call once, before appending."""
@@ -120,8 +118,6 @@
             self._end_segment()
             raise
         self.segments[-1].size += len(data)
-        self.synced_bytes += len(data)
-        self.syncs += 1
         return self.segments[-1].number
 
     def _begin_segment(self) -> None:
--- a/egretford/platform/documents.py
+++ b/egretford/platform/documents.py
@@ -6,7 +6,6 @@
 
 from egretford.entry.models import (
     EngineProfile,
-    RequestBounds,
     Route,
     RouteKind,
     RoutingTable,
@@ -15,6 +14,7 @@
     Worker,
 )
 from egretford.errors import InputError, Problem
+from egretford.http.limits import RequestLimits
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -35,7 +35,7 @@
             version=_read_version(document["version"]),
             routes=tuple(_decode_route(item) for item in document["routes"]),
             upstreams={item["name"]: _decode_upstream(item) for item in document["services"]},
-            bounds=_decode_bounds(document["limits"]),
+            limits=_decode_limits(document["limits"]),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         problem = Problem(
@@ -94,8 +94,8 @@
     )
 
 
-def _decode_bounds(item: dict[str, Any]) -> RequestBounds:
-    return RequestBounds(
+def _decode_limits(item: dict[str, Any]) -> RequestLimits:
+    return RequestLimits(
         header_bytes=int(item["max_header_bytes"]),
         body_bytes=int(item["max_body_bytes"]),
         header_timeout=item["header_timeout_ms"] / 1_000,
--- a/egretford/policy/prefixes.py
+++ b/egretford/policy/prefixes.py
@@ -41,8 +41,3 @@
         while self._total > self.capacity and self._parts:
             _, tokens = self._parts.popitem(last=False)
             self._total -= tokens
-
-    def clear(self) -> None:
-        """Forget everything, as a restart does."""
-        self._parts.clear()
-        self._total = 0
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -7,8 +7,9 @@
 import pytest
 
 from egretford.clock import SystemClock
+from egretford.http.limits import RequestLimits
 from egretford.http.messages import Headers
-from egretford.http.server import HttpServer, RequestLimits
+from egretford.http.server import HttpServer
 from tests.platform.standins import NullLog
 
 OK = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -25,7 +26,7 @@
     limits = RequestLimits(
         header_bytes=1_000, body_bytes=1_000, header_timeout=0.2, idle_timeout=0.4
     )
-    server = HttpServer(handle, limits, SystemClock(), NullLog(), name="test")
+    server = HttpServer(handle, limits, SystemClock(), NullLog())
     server.seen = seen
     await server.start("127.0.0.1:0")
     yield server
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -12,8 +12,9 @@
 
 from egretford.clock import SystemClock
 from egretford.http.client import BodyEnd, BodyPart, ClientConnection
+from egretford.http.limits import RequestLimits
 from egretford.http.messages import Headers, HttpRequest, encode_head
-from egretford.http.server import HttpServer, RequestLimits, Responder
+from egretford.http.server import HttpServer, Responder
 
 PAGE = 50
 
@@ -29,22 +30,12 @@
     )
 
 
-class StoreStandin:
-    """Objects by kind and name, one revision counter, conditional writes, watches."""
+class ListeningStandin:
+    """Listens on a free port of the loopback address."""
 
     def __init__(self) -> None:
-        self.objects: dict[tuple[str, str], dict] = {}
-        self.events: list[tuple[int, str, dict, bool]] = []
-        self.revision = 7
-        self.oldest = 0
-        self.down = False
-        self.lose_answers = 0
-        self.silent_watches = 0
-        self.calls: list[tuple[str, str]] = []
-        self._changed = asyncio.Event()
-        self.server = HttpServer(
-            self.handle, RequestLimits(idle_timeout=60), SystemClock(), NullLog(), name="store"
-        )
+        limits = RequestLimits(idle_timeout=60)
+        self.server = HttpServer(self.handle, limits, SystemClock(), NullLog())
 
     async def start(self) -> None:
         await self.server.start("127.0.0.1:0")
@@ -56,6 +47,22 @@
     async def close(self) -> None:
         await self.server.close()
 
+
+class StoreStandin(ListeningStandin):
+    """Objects by kind and name, one revision counter, conditional writes, watches."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], dict] = {}
+        self.events: list[tuple[int, str, dict, bool]] = []
+        self.revision = 7
+        self.oldest = 0
+        self.down = False
+        self.lose_answers = 0
+        self.silent_watches = 0
+        self.calls: list[tuple[str, str]] = []
+        self._changed = asyncio.Event()
+        super().__init__()
+
     def put(self, kind: str, name: str, spec) -> None:
         known = self.objects.get((kind, name))
         created = known["metadata"]["created_rev"] if known else self.revision + 1
@@ -177,7 +184,7 @@
 Script = Callable[["WorkerStandin", Arrival, Responder], Awaitable[bool]]
 
 
-class WorkerStandin:
+class WorkerStandin(ListeningStandin):
     """A worker: streams `events` events, or answers a plain call; `script` may act first."""
 
     def __init__(self, worker_id: str, upstream: str, zone: str, *, engine: bool) -> None:
@@ -188,19 +195,7 @@
         self.events = 4
         self.script: Script | None = None
         self.arrivals: list[Arrival] = []
-        self.server = HttpServer(
-            self.handle, RequestLimits(idle_timeout=60), SystemClock(), NullLog(), name=worker_id
-        )
-
-    async def start(self) -> None:
-        await self.server.start("127.0.0.1:0")
-
-    @property
-    def address(self) -> str:
-        return f"127.0.0.1:{self.server.port}"
-
-    async def close(self) -> None:
-        await self.server.close()
+        super().__init__()
 
     def describe(self, phase: str = "ready") -> dict:
         return {
