Repeat a lost stream at the worker that runs it

Ruled out: counting attempts by sends, which a refusal uses up as well. Change: policy/attempts.py counts the workers that may have run a request and live; a stream is asked for again at its worker, and elsewhere only if that one is gone, or the route allows more.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -17,6 +17,7 @@
 from egretford.errors import (
     ErrorKind,
     RequestError,
+    UpstreamGoneError,
     UpstreamLostError,
     UpstreamRefusedError,
     Verdict,
@@ -31,6 +32,7 @@
 from egretford.http.messages import Headers
 from egretford.http.server import Responder
 from egretford.platform.wire import decode_reply, encode_request
+from egretford.policy.attempts import AttemptHistory
 from egretford.policy.placement import Placement
 
 # A connection that may have gone silent is only reused for calls that may be sent again;
@@ -40,8 +42,8 @@
 # A repeatable call without an answer after this long is sent to another worker; the longest
 # of them takes some tens of milliseconds on an idle worker.
 SAFE_ATTEMPT_SECONDS = 0.3
-# A resumable stream that is silent for this long is resumed elsewhere; a pause beyond 0.3 s
-# is late already.
+# A resumable stream that is silent for this long is asked for again on a new connection; a
+# pause beyond 0.3 s is late already.
 STREAM_SILENCE_SECONDS = 0.6
 # Refusals by workers after which a request is refused rather than offered once more.
 MAX_REFUSALS = 4
@@ -56,6 +58,7 @@
 
     `before_end` is awaited when a stream is complete, before its end is passed on. `sent`
     holds while an attempt is at a worker, `lost` counts those that ended without its word.
+    `repeat_at` is the worker that runs a request whose answer was lost.
     """
 
     request: CallerRequest
@@ -71,10 +74,20 @@
     lost: int = 0
     sent: bool = False
     excluded: set[str] = Factory(set)
+    repeat_at: TrackedWorker | None = None
     events: int = 0
     last_event: int | None = None
     output: list[bytes] = Factory(list)
     worker: str = ""
+    history: AttemptHistory = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.history = AttemptHistory(self.route.attempts)
+
+    @property
+    def can_repeat(self) -> bool:
+        """Whether a request that may have run may be sent once more."""
+        return self.route.repeatable or self.route.resumable
 
     @property
     def verdict(self) -> Verdict:
@@ -115,10 +128,12 @@
 
     async def _run_attempts(self, job: Forwarding) -> None:
         while True:
-            tracked = self._choose(job)
+            tracked = job.repeat_at or self._choose(job)
             try:
                 await self._attempt(job, tracked)
                 return
+            except UpstreamGoneError as error:
+                self._note_gone(job, tracked, error)
             except UpstreamRefusedError as error:
                 self._note_refusal(job, tracked, error)
             except UpstreamLostError as error:
@@ -149,34 +164,48 @@
         job.refusals += 1
         job.sent = False
         job.excluded.add(tracked.worker.id)
+        job.repeat_at = None
         self._log.info(
             "a worker did not take a request",
             request=job.request.id,
             worker=tracked.worker.id,
             reason=str(error),
         )
-        if job.refusals >= MAX_REFUSALS or job.responder.started:
+        if job.refusals >= MAX_REFUSALS or not job.history.may_add_worker:
             raise job.refuse(ErrorKind.OVERLOADED, str(error)) from error
 
+    def _note_gone(self, job: Forwarding, tracked: TrackedWorker, error: UpstreamGoneError) -> None:
+        """Go on without a worker that cannot be reached under its address any more."""
+        job.history.note_ended(tracked.worker.id)
+        self._note_refusal(job, tracked, error)
+
     def _note_loss(self, job: Forwarding, tracked: TrackedWorker, error: UpstreamLostError) -> None:
+        """Go on after a lost answer, with another worker only if the route allows as many."""
+        worker = tracked.worker.id
         job.lost += 1
         if error.crashed and job.on_crash is not None:
-            job.on_crash(tracked.worker.id)
-        job.excluded.add(tracked.worker.id)
+            job.on_crash(worker)
         self._workers.note_failure(tracked, str(error))
         self._log.info(
             "an attempt was lost",
             request=job.request.id,
-            worker=tracked.worker.id,
+            worker=worker,
             events=job.events,
+            sent_there=job.history.ran_on.get(worker, 0),
             reason=str(error),
         )
         left = job.deadline - self._clock.monotonic()
-        allowed = job.route.repeatable and job.offers < job.route.attempts
-        # A crashed worker does not count against the attempts that a route allows.
-        allowed = allowed or (job.route.resumable and error.crashed)
-        if not allowed or left < MIN_SECONDS_LEFT:
-            raise job.refuse(ErrorKind.UPSTREAM_FAILED, str(error)) from error
+        if job.can_repeat and left >= MIN_SECONDS_LEFT:
+            # A stream's prompt is in that worker's memory; plain calls have no such reason.
+            can_stay = job.history.may_repeat(worker) and not tracked.state.leaving
+            if can_stay and (job.route.resumable or not job.history.may_add_worker):
+                job.repeat_at = tracked
+                return
+            if job.history.may_add_worker:
+                job.excluded.add(worker)
+                job.repeat_at = None
+                return
+        raise job.refuse(ErrorKind.UPSTREAM_FAILED, str(error)) from error
 
     # One attempt
 
@@ -204,7 +233,7 @@
             connection = await self._workers.connect(tracked, idle)
         except ConnectError as error:
             self._workers.note_failure(tracked, str(error))
-            raise UpstreamRefusedError(str(error)) from error
+            raise UpstreamGoneError(str(error)) from error
         try:
             left = job.deadline - self._clock.monotonic()
             if left < MIN_SECONDS_LEFT:
@@ -215,6 +244,7 @@
             )
             job.sent = True
             job.offers += 1
+            job.history.note_sent(tracked.worker.id)
             job.worker = tracked.worker.id
             tracked.cache.note_prompt(job.request.prompt)
             yield connection
@@ -254,14 +284,16 @@
             tracked.note_load(reply.load, self._clock.monotonic())
         connection.idle_limit = reply.idle_limit
         if reply.proves_not_run:
+            job.history.note_not_run(tracked.worker.id)
             if reply.worker_id not in (None, tracked.worker.id):
                 self._workers.note_misdirected(tracked)
+                raise UpstreamGoneError(f"another worker answered with status {reply.status}")
             raise UpstreamRefusedError(f"status {reply.status}")
         self._check_success(job, reply)
         return reply
 
     def _limit_silence(self, job: Forwarding) -> float | None:
-        if job.route.repeatable and job.offers < job.route.attempts:
+        if job.route.repeatable and job.history.may_add_worker:
             return SAFE_ATTEMPT_SECONDS
         return None
 
@@ -281,7 +313,7 @@
             if isinstance(event, BodyPart):
                 parts.append(event.data)
         failed_by_worker = reply.status >= 500
-        if failed_by_worker and job.route.repeatable and job.offers < job.route.attempts:
+        if failed_by_worker and job.route.repeatable and job.history.may_add_worker:
             raise UpstreamLostError(f"status {reply.status}", crashed=False)
         job.responder.send_whole(reply.status, Headers(list(reply.fields)), b"".join(parts))
 
--- a/egretford/errors.py
+++ b/egretford/errors.py
@@ -152,6 +152,10 @@
         self.leaving = leaving
 
 
+class UpstreamGoneError(UpstreamRefusedError):
+    """No process of that identity can be reached under its address."""
+
+
 class UpstreamRejectedError(UpstreamError):
     """The upstream judged the request itself invalid; another try would end the same."""
 
--- /dev/null
+++ b/egretford/policy/attempts.py
@@ -0,0 +1,44 @@
+"""At which worker a request whose answer was lost goes on, if at any."""
+
+from __future__ import annotations
+
+from attrs import Factory, define
+
+# How often a lost stream is asked for again at the worker that runs it; faulty workers spoil
+# a few of a hundred answers, so that a third failure in a row means something else.
+MAX_REPEATS = 2
+
+
+@define
+class AttemptHistory:
+    """The workers that may have run one request; `allowed` is the most that may.
+
+    Workers whose process ended, or that cannot be reached, do not count.
+    """
+
+    allowed: int
+    ran_on: dict[str, int] = Factory(dict)
+    ended: set[str] = Factory(set)
+
+    def note_sent(self, worker: str) -> None:
+        """Note that a worker was sent the request."""
+        self.ran_on[worker] = self.ran_on.get(worker, 0) + 1
+
+    def note_not_run(self, worker: str) -> None:
+        """Note that a worker said it did not run what it was sent last."""
+        self.ran_on[worker] -= 1
+        if not self.ran_on[worker]:
+            del self.ran_on[worker]
+
+    def note_ended(self, worker: str) -> None:
+        """Note that a worker's process is gone or out of reach."""
+        self.ended.add(worker)
+
+    @property
+    def may_add_worker(self) -> bool:
+        """Whether a worker that has not run the request may get it."""
+        return sum(worker not in self.ended for worker in self.ran_on) < self.allowed
+
+    def may_repeat(self, worker: str) -> bool:
+        """Whether a worker that ran the request may be asked again."""
+        return worker not in self.ended and self.ran_on.get(worker, 0) <= MAX_REPEATS
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -104,7 +104,27 @@
     assert (await ask_turn(deployment.callers[0], b"x", "t9", Token_Budget="60")).status == 200
 
 
-async def test_a_broken_stream_is_resumed_elsewhere_and_not_where_it_may_not(deployment):
+async def test_a_stream_is_resumed_elsewhere_if_its_worker_is_gone(deployment):
+    broken = []
+
+    async def crash(worker, arrival, responder):
+        if broken:
+            return False
+        broken.append(worker.id)
+        await worker.stream(arrival, responder, upto=3)
+        await worker.close()
+        return True
+
+    for worker in deployment.workers[:2]:
+        worker.script = crash
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert answer.whole
+    assert answer.body == b"".join(make_event(number) for number in range(1, 5))
+    ran_on = [w.id for w in deployment.workers if any(a.request_id == "p1" for a in w.arrivals)]
+    assert len(ran_on) == 2
+
+
+async def test_a_broken_stream_is_resumed_and_not_where_it_may_not(deployment):
     broken = []
 
     async def break_off(worker, arrival, responder):
--- /dev/null
+++ b/tests/policy/test_attempts.py
@@ -0,0 +1,51 @@
+"""Where a lost request goes on: property of the bound on workers, and the order of choices."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretford.policy.attempts import MAX_REPEATS, AttemptHistory
+
+
+def test_a_route_of_one_attempt_allows_no_second_living_worker():
+    history = AttemptHistory(allowed=1)
+    history.note_sent("a")
+    assert history.may_repeat("a")
+    assert not history.may_add_worker
+
+
+def test_a_worker_that_ended_or_did_not_run_the_request_leaves_room_for_another():
+    history = AttemptHistory(allowed=1)
+    history.note_sent("a")
+    history.note_ended("a")
+    assert history.may_add_worker and not history.may_repeat("a")
+    history.note_sent("b")
+    assert not history.may_add_worker
+    history.note_not_run("b")
+    assert history.may_add_worker
+
+
+def test_a_worker_that_loses_every_answer_is_left_alone_after_some():
+    history = AttemptHistory(allowed=2)
+    for _ in range(MAX_REPEATS + 1):
+        assert history.may_repeat("a")
+        history.note_sent("a")
+    assert not history.may_repeat("a") and history.may_add_worker
+
+
+@given(st.integers(1, 3), st.lists(st.tuples(st.integers(0, 4), st.booleans())))
+def test_no_more_living_workers_than_allowed_ever_run_a_request(allowed, steps):
+    history = AttemptHistory(allowed)
+    living: set[str] = set()
+    for number, ends in steps:
+        worker = f"w{number}"
+        if (history.may_repeat(worker) and worker in living) or history.may_add_worker:
+            if worker in history.ended:
+                continue
+            history.note_sent(worker)
+            living.add(worker)
+        if ends and worker in living:
+            living.discard(worker)
+            history.note_ended(worker)
+        assert len(living) <= allowed
