A change of view looks through turns only, at the keeper that holds them

Also found: a page whose turns could not be fetched, since the view changed in between, still moved the position on. Ruled out: remembering every turn note at every keeper, which grows with the deployment instead of with the keeper's own share. Change: a source filters its turns by who is to hold them under the view; charges have a position of their own, which a change of members leaves; the position of turns only moves on once they were fetched. Before: the known-red test failed, the new test of interrupted pages failed.

--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -18,15 +18,13 @@
     ListRecords,
     OutdatedView,
     RecordPage,
-    TurnNote,
     TurnPage,
     UnknownView,
 )
 from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
 from egretford.peer.interface import Peers
-from egretford.policy.copies import must_hold
-from egretford.policy.views import Member
+from egretford.policy.views import Member, MemberState
 
 # How often each other keeper is asked; also how soon a silent one is noticed.
 COPY_SECONDS = 0.5
@@ -40,14 +38,16 @@
 class Source:
     """What is known of one other keeper; `heard_at` in monotonic seconds.
 
-    `copied_view` is the newest view under which all of its records were copied, `scanned`
-    the members by which its turns were looked through last.
+    `position` and `turns_after` tell how far its charges and its turns were copied,
+    `copied_view` is the newest view under which all were, and `scanned` holds the members by
+    which its turns were looked through last.
     """
 
     member: Member
     heard_at: float
     lifetime: str = ""
     position: int = 0
+    turns_after: int = 0
     copied_view: int = 0
     scanned: tuple[Member, ...] = ()
     ready: bool = False
@@ -60,7 +60,6 @@
         self,
         name: str,
         disk: str,
-        tolerated_losses: int,
         service: KeeperService,
         records: Records,
         peers: Peers,
@@ -69,7 +68,6 @@
     ) -> None:
         self._name = name
         self._disk = disk
-        self._tolerated = tolerated_losses
         self._service = service
         self._records = records
         self._peers = peers
@@ -135,8 +133,15 @@
         view = self._service.view
         if source.scanned != view.members:
             # Other members are to hold other turns: look through all of them again.
-            source.position, source.scanned = 0, view.members
-        message = ListRecords(self._disk, source.lifetime, source.position, view=view.number)
+            source.turns_after, source.scanned = 0, view.members
+        message = ListRecords(
+            self._disk,
+            self._name,
+            source.lifetime,
+            source.position,
+            source.turns_after,
+            view=view.number,
+        )
         reply = await self._ask(source, message)
         match reply:
             case OutdatedView():
@@ -146,13 +151,15 @@
                 await self._ask(source, AdoptView(view))
                 return True
             case RecordPage():
-                had_all = not reply.charges and not reply.turns
-                await self._take(source, reply)
+                before = source.turns_after
+                if not await self._take(source, reply):
+                    return True
                 source.ready = reply.ready
                 if not reply.more and source.copied_view < view.number:
                     source.copied_view = view.number
-                # One empty page more tells the source that all of it is copied.
-                return not had_all
+                # One that is emptied learns by the next request that all of it is copied.
+                waits = source.member.state is MemberState.LEAVING
+                return reply.more or (waits and source.turns_after > before)
         return False
 
     async def _ask(self, source: Source, message: KeeperRequest) -> KeeperReply:
@@ -160,23 +167,26 @@
         source.heard_at = self._clock.monotonic()
         return reply
 
-    async def _take(self, source: Source, page: RecordPage) -> None:
+    async def _take(self, source: Source, page: RecordPage) -> bool:
+        """Write a page's records; False if the view changed before its turns were fetched."""
         # One source at a time, so that no turn comes twice over a narrow link.
         async with self._fetching:
-            while missing := self._list_missing(page.turns):
-                message = FetchTurns(tuple(missing[:MAX_FETCH_IDS]), view=self._service.view.number)
+            missing = [turn_id for turn_id in page.turns if not self._records.holds(turn_id)]
+            while missing:
+                asked = tuple(missing[:MAX_FETCH_IDS])
+                message = FetchTurns(asked, view=self._service.view.number)
                 reply = await self._ask(source, message)
-                if not isinstance(reply, TurnPage) or not reply.turns:
-                    break
+                if not isinstance(reply, TurnPage):
+                    # The page is asked for again under the newer view.
+                    return False
                 await self._records.write(list(reply.turns))
+                # What does not come although nothing else does has expired there.
+                missing = [t for t in missing if not self._records.holds(t)]
+                if not reply.turns:
+                    missing = [t for t in missing if t not in asked]
         await self._records.write(list(page.charges))
-        source.lifetime, source.position = page.lifetime, page.position
-
-    def _list_missing(self, notes: tuple[TurnNote, ...]) -> list[str]:
-        view = self._service.view
-        return [
-            note.id
-            for note in notes
-            if not self._records.holds(note.id)
-            and must_hold(view, self._name, note.id, note.copies, self._tolerated)
-        ]
+        if source.lifetime != page.lifetime:
+            source.lifetime, source.position = page.lifetime, 0
+        source.position = max(source.position, page.position)
+        source.turns_after = page.position
+        return True
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -44,7 +44,12 @@
         disk = read_disk_identity(folder)
         me = Member(settings.name, disk, f"tcp://{settings.peer_address}", settings.failure_domain)
         self._service = KeeperService(
-            folder, disk, self._records, clock, self._make_logger("service")
+            folder,
+            disk,
+            settings.tolerated_losses,
+            self._records,
+            clock,
+            self._make_logger("service"),
         )
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
         self._server = StreamPeerServer(
@@ -53,7 +58,6 @@
         self._copying = Copying(
             settings.name,
             disk,
-            settings.tolerated_losses,
             self._service,
             self._records,
             self._peers,
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -79,38 +79,35 @@
     """All of it is synced."""
 
 
-@frozen
-class TurnNote:
-    """A turn without its texts."""
-
-    id: str
-    copies: tuple[str, ...]
-
-
 @frozen
 class ListRecords:
     """Asks for what a keeper took after a position of one of its lifetimes.
 
-    `asker` is the asking keeper's disk.
+    `asker` is the asking keeper's disk, `asker_name` its instance. Turns are listed after
+    `turns_after`, which is at most `position`: they are looked through again whenever other
+    members are to hold them.
     """
 
     asker: str
+    asker_name: str
     lifetime: str
     position: int
+    turns_after: int
     view: int = field(default=0, kw_only=True)
 
 
 @frozen
 class RecordPage:
-    """Charges in full and turns by id; `more` tells that another page follows.
+    """Charges in full, and ids of the turns that the asker is to hold.
 
-    `ready` tells whether the keeper holds all that it is to hold.
+    `position` is how far the records were looked through, `more` tells that another page
+    follows, `ready` whether the keeper holds all that it is to hold.
     """
 
     lifetime: str
     position: int
     charges: tuple[Charge, ...]
-    turns: tuple[TurnNote, ...]
+    turns: tuple[str, ...]
     more: bool
     ready: bool
 
--- a/egretford/keeper/records.py
+++ b/egretford/keeper/records.py
@@ -4,6 +4,7 @@
 
 import uuid
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 from attrs import Factory, define
@@ -11,7 +12,7 @@
 from egretford.clock import Clock
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.keeper.log import DiskLog
-from egretford.keeper.messages import Record, Turn, TurnNote
+from egretford.keeper.messages import Record, Turn
 from egretford.policy.ledger import Charge, Ledger
 
 # Records are kept a while longer than asked, since other keepers took them at other times.
@@ -132,18 +133,24 @@
             lasting = now + turn.retention + RETENTION_MARGIN_SECONDS
             held.expires_at = max(held.expires_at, lasting)
 
-    def list_after(self, position: int) -> tuple[list[Charge], list[TurnNote], int, bool]:
-        """Return charges and turns taken after a position, the last one, and if more follow."""
+    def list_after(
+        self, position: int, turns_after: int, is_wanted: Callable[[Turn], bool]
+    ) -> tuple[list[Charge], list[str], int, bool]:
+        """Return charges after `position` and ids of wanted turns after `turns_after`.
+
+        Comes with the position up to which both were looked through, and if more follow.
+        """
         charges: list[Charge] = []
-        turns: list[TurnNote] = []
-        last = position
-        for key, at in self._iterate_after(position):
+        turns: list[str] = []
+        last = turns_after
+        for key, at in self._iterate_after(turns_after):
             if len(charges) + len(turns) >= PAGE_RECORDS:
                 return charges, turns, last, True
-            if key[0] == "turn":
-                turns.append(TurnNote(key[1], self._turns[key[1]].turn.copies))
-            else:
-                charges.append(self._ledgers[key[1]].ledger.charges[key[2]])
+            if key[0] == "charge":
+                if at > position:
+                    charges.append(self._ledgers[key[1]].ledger.charges[key[2]])
+            elif is_wanted(self._turns[key[1]].turn):
+                turns.append(key[1])
             last = at
         return charges, turns, last, False
 
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -28,6 +28,7 @@
     UnknownView,
 )
 from egretford.keeper.records import Records
+from egretford.policy.copies import must_hold
 from egretford.policy.crashes import CrashTable
 from egretford.policy.views import View
 
@@ -41,9 +42,18 @@
     an older one back.
     """
 
-    def __init__(self, folder: Path, disk: str, records: Records, clock: Clock, log: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        disk: str,
+        tolerated_losses: int,
+        records: Records,
+        clock: Clock,
+        log: Any,
+    ) -> None:
         self._path = folder / VIEW_FILE
         self._disk = disk
+        self._tolerated = tolerated_losses
         self._records = records
         self._clock = clock
         self._crashes = CrashTable()
@@ -51,7 +61,7 @@
         self._adopting = asyncio.Lock()
         self.view = View()
         self.ready = False
-        # By asking keeper: the view and the position up to which it has copied this one.
+        # By asking keeper: the view and the position up to which it holds its turns of this one.
         self.copied_by: dict[str, tuple[int, int]] = {}
 
     def load_view(self) -> None:
@@ -131,9 +141,16 @@
         return Kept()
 
     def _list(self, message: ListRecords) -> RecordPage:
-        position = message.position if message.lifetime == self._records.lifetime else 0
-        self.copied_by[message.asker] = (message.view, position)
-        charges, turns, last, more = self._records.list_after(position)
+        known = message.lifetime == self._records.lifetime
+        position, turns_after = (message.position, message.turns_after) if known else (0, 0)
+        self.copied_by[message.asker] = (message.view, turns_after)
+        charges, turns, last, more = self._records.list_after(
+            position,
+            turns_after,
+            lambda turn: must_hold(
+                self.view, message.asker_name, turn.id, turn.copies, self._tolerated
+            ),
+        )
         return RecordPage(
             self._records.lifetime,
             last,
--- a/tests/keeper/test_copying.py
+++ b/tests/keeper/test_copying.py
@@ -9,7 +9,7 @@
 from egretford.errors import PeerUnreachableError
 from egretford.keeper.copying import Copying
 from egretford.keeper.log import DiskLog
-from egretford.keeper.messages import FetchTurns, KeeperReply, RecordPage, Turn
+from egretford.keeper.messages import FetchTurns, KeeperReply, OutdatedView, RecordPage, Turn
 from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
 from egretford.policy.ledger import Charge
@@ -53,7 +53,7 @@
     records = Records(DiskLog(folder / "records", NullLog()), SystemClock(), NullLog())
     folder.mkdir(parents=True, exist_ok=True)
     records.load()
-    return KeeperService(folder, disk, records, SystemClock(), NullLog()), records
+    return KeeperService(folder, disk, 1, records, SystemClock(), NullLog()), records
 
 
 async def test_an_empty_keeper_catches_up_over_a_link_between_regions(tmp_path):
@@ -70,7 +70,7 @@
     for name in ("a", "b"):
         await held[name].write([*turns, *charges])
     link = NarrowLink(services)
-    copying = Copying("new", "new", 1, services["new"], held["new"], link, SystemClock(), NullLog())
+    copying = Copying("new", "new", services["new"], held["new"], link, SystemClock(), NullLog())
     await copying.start()
     async with asyncio.timeout(CATCH_UP_SECONDS):
         while any(source.copied_view < 4 for source in copying.sources.values()):
@@ -82,6 +82,39 @@
     assert len(link.fetched) == 600
 
 
+class ChangingLink(NarrowLink):
+    """Answers the first request for turns as a keeper does that knows a newer view."""
+
+    def __init__(self, services, view):
+        super().__init__(services)
+        self.view = view
+        self.interrupted = False
+
+    async def ask(self, address, message, seconds):
+        if isinstance(message, FetchTurns) and not self.interrupted:
+            self.interrupted = True
+            return OutdatedView(self.view)
+        return await super().ask(address, message, seconds)
+
+
+async def test_turns_that_were_not_fetched_are_not_passed_over(tmp_path):
+    members = tuple(Member(n, n, n, n, MemberState.ACTIVE) for n in ("a", "new"))
+    view = View(4, members)
+    services, held = {}, {}
+    for name in ("a", "new"):
+        services[name], held[name] = make_service(tmp_path / name, name)
+        await services[name].adopt(view)
+    await held["a"].write([Turn("t1", None, "p", b"q", b"a", 60.0, ("a", "new"))])
+    link = ChangingLink(services, view)
+    copying = Copying("new", "new", services["new"], held["new"], link, SystemClock(), NullLog())
+    await copying.start()
+    async with asyncio.timeout(CATCH_UP_SECONDS):
+        while copying.sources["a"].copied_view < 4:
+            await asyncio.sleep(0.05)
+    await copying.close()
+    assert link.interrupted and held["new"].holds("t1")
+
+
 async def test_a_change_of_view_sends_no_charge_again(tmp_path):
     """What was copied stays copied; only who is to hold which turn changes with the members."""
     members = tuple(Member(n, n, n, n, MemberState.ACTIVE) for n in ("a", "new"))
@@ -91,7 +124,7 @@
         await services[name].adopt(View(4, members))
     await held["a"].write([Charge(f"p{n}", f"t{n}", 5, settled=True) for n in range(300)])
     link = NarrowLink(services)
-    copying = Copying("new", "new", 1, services["new"], held["new"], link, SystemClock(), NullLog())
+    copying = Copying("new", "new", services["new"], held["new"], link, SystemClock(), NullLog())
     await copying.start()
     async with asyncio.timeout(CATCH_UP_SECONDS):
         while copying.sources["a"].copied_view < 4:
--- a/tests/keeper/test_records.py
+++ b/tests/keeper/test_records.py
@@ -85,9 +85,16 @@
     await records.write([make_turn(n) for n in range(7)])
     position, found, more = 0, [], True
     while more:
-        _, turns, position, more = records.list_after(position)
-        found += [note.id for note in turns]
+        _, turns, position, more = records.list_after(position, position, lambda turn: True)
+        found += turns
     assert found == [f"t{n}" for n in range(7)]
     await records.write([Charge("p", "t1", 5)])
-    charges, turns, _, _ = records.list_after(position)
+    charges, turns, _, _ = records.list_after(position, position, lambda turn: True)
     assert (len(charges), turns) == (1, [])
+
+
+async def test_turns_are_looked_through_again_without_the_charges(tmp_path):
+    records = make_records(tmp_path, FakeClock())
+    await records.write([make_turn(1), Charge("p", "t1", 5), make_turn(2)])
+    charges, turns, position, _ = records.list_after(3, 0, lambda turn: turn.id == "t2")
+    assert (charges, turns, position) == ([], ["t2"], 3)
