Wait for entries that lapsed in a store outage; smaller mends found by reading

The feed also noted the answer only after the listing was taken. A worker learnt before the configuration counted as keeping no prompt for good. A peer's reply was looked for on every link. Change: the table reads the store's recovery; the cache size follows the configuration; replies are matched on their own link; the unused is gone. Before: the new tests of lapse, late memory and recovery fail (no such wait; 0 tokens; None). After: they pass.

--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -45,7 +45,7 @@
         self._log = self._make_logger("entry")
         self._store = MetadataStore(settings.store_address, clock)
         self._health = StoreHealth(clock, self._make_logger("store"))
-        self.workers = WorkerTable(clock, self._make_logger("workers"))
+        self.workers = WorkerTable(clock, self._health, self._make_logger("workers"))
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
         self._keepers = KeeperGroup(
             self._peers,
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Protocol
 
 from attrs import Factory, define
 
@@ -26,6 +26,12 @@
 CONNECT_SECONDS = 0.5
 
 
+class StoreRecovery(Protocol):
+    """Tells when the store answered again after it had failed; in monotonic seconds."""
+
+    recovered_at: float | None
+
+
 @define
 class TrackedWorker:
     """A worker with what this entry believes of it; times in monotonic seconds."""
@@ -67,17 +73,19 @@
 class WorkerTable:
     """Workers by id, kept by the worker list and by what calls show."""
 
-    def __init__(self, clock: Clock, log: Any) -> None:
+    def __init__(self, clock: Clock, store: StoreRecovery, log: Any) -> None:
         self._clock = clock
+        self._store = store
         self._log = log
         self._workers: dict[str, TrackedWorker] = {}
         self._table: RoutingTable | None = None
         self.listed_at: float | None = None
-        self.store_recovered_at: float | None = None
 
     def learn_configuration(self, table: RoutingTable) -> None:
         """Take the upstreams' properties."""
         self._table = table
+        for tracked in self._workers.values():
+            tracked.cache.capacity = self._find_cache_tokens(tracked.worker.upstream)
 
     # The worker list
 
@@ -122,18 +130,22 @@
             return
         now = self._clock.monotonic()
         known.remove_at = now + REMOVAL_SECONDS
-        if self.store_recovered_at is not None:
-            known.remove_at = max(known.remove_at, self.store_recovered_at + LAPSE_SECONDS)
+        if self._store.recovered_at is not None:
+            known.remove_at = max(known.remove_at, self._store.recovered_at + LAPSE_SECONDS)
         self._log.info(
             "a worker's entry is gone", worker=worker_id, wait_s=round(known.remove_at - now, 3)
         )
 
     def _track(self, worker: Worker) -> TrackedWorker:
-        upstream = self._table.upstreams.get(worker.upstream) if self._table else None
-        engine = upstream.engine if upstream else None
-        first = FIRST_ENGINE_SECONDS if engine else FIRST_SERVICE_SECONDS
+        tokens = self._find_cache_tokens(worker.upstream)
+        first = FIRST_ENGINE_SECONDS if tokens else FIRST_SERVICE_SECONDS
         state = WorkerState(worker, worker.slots, service_seconds=first, leaving=worker.leaving)
-        return TrackedWorker(worker, state, PrefixCache(engine.cache_tokens if engine else 0))
+        return TrackedWorker(worker, state, PrefixCache(tokens))
+
+    def _find_cache_tokens(self, name: str) -> int:
+        """Return how many tokens a worker of an upstream keeps; none without a model engine."""
+        upstream = self._table.upstreams.get(name) if self._table else None
+        return upstream.engine.cache_tokens if upstream and upstream.engine else 0
 
     # Choice and use
 
--- a/egretford/peer/streams.py
+++ b/egretford/peer/streams.py
@@ -169,7 +169,11 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_SECONDS):
             _, protocol = await loop.create_connection(
-                lambda: _FrameProtocol(self._take_reply), host, int(port)
+                lambda: _FrameProtocol(
+                    lambda _, number, payload: self._take_reply(address, number, payload)
+                ),
+                host,
+                int(port),
             )
         protocol.on_lost = lambda: self._drop_lost(address, protocol)
         return protocol
@@ -197,12 +201,11 @@
         finally:
             del link.waiting[number]
 
-    def _take_reply(self, protocol: _FrameProtocol, number: int, payload: bytes) -> None:
-        for link in self._links.values():
-            future = link.waiting.get(number)
-            if future is not None and not future.done():
-                future.set_result(payload)
-                return
+    def _take_reply(self, address: str, number: int, payload: bytes) -> None:
+        link = self._links.get(address)
+        future = link.waiting.get(number) if link is not None else None
+        if future is not None and not future.done():
+            future.set_result(payload)
 
 
 class StreamPeerServer:
--- a/egretford/platform/feeds.py
+++ b/egretford/platform/feeds.py
@@ -108,7 +108,6 @@
         while True:
             try:
                 await self._step()
-                self._health.note_answer()
             except HistoryGoneError:
                 self._log.info("the store dropped its history; listing again", kind=self._kind)
                 self._revision = None
@@ -119,11 +118,13 @@
     async def _step(self) -> None:
         if self._revision is None:
             listing = await self._store.list_all(self._kind)
+            self._health.note_answer()
             self._handler.replace_all(listing)
             self._revision = listing.revision
             return
         seconds = WATCH_SECONDS if self._health.is_sure else UNSURE_WATCH_SECONDS
         answer = await self._store.watch(self._kind, self._revision, seconds)
+        self._health.note_answer()
         for change in answer.changes:
             self._handler.change(change.object, change.removed)
         self._revision = answer.revision
--- a/egretford/platform/settings.py
+++ b/egretford/platform/settings.py
@@ -53,32 +53,20 @@
             regions=self._take("zones", dict, {}),
             peer_port=ports[0],
             store_address=self._take("provider.address", str, ""),
-            store_value_bytes=self._take("provider.value_bytes", int, 1_048_576, required=False),
-            bounds=self._read_bounds(),
-            memory_bytes=int(self._take("limits.memory_mb", (int, float), 0) * 1_000_000),
+            bounds=DeploymentBounds(
+                stop_grace=float(self._take("bounds.grace_s", (int, float), 0)),
+            ),
             # Only whole instances are counted; losing a failure domain is not asked for here.
             tolerated_losses=self._take("fault_tolerance.machines", int, 0),
             first_start=self._take("bootstrap", bool, False),
-            worker_heartbeat=self._take("heartbeat_ms", (int, float), 1_000) / 1_000,
             callers_address=self._take("listen.front", str, "", required=False),
             readiness_address=self._take("listen.ready", str, "", required=False),
             data_folder=self._take("data_dir", str, "", required=False),
-            seeds=tuple(self._take("seed_nodes", list, [], required=False)),
         )
         if self._problems:
             raise InputError(self._problems)
         return settings
 
-    def _read_bounds(self) -> DeploymentBounds:
-        number = (int, float)
-        return DeploymentBounds(
-            drain=self._take("bounds.drain_ms", number, 0) / 1_000,
-            stop_grace=float(self._take("bounds.grace_s", number, 0)),
-            configuration=self._take("bounds.config_apply_ms", number, 0) / 1_000,
-            recovery=float(self._take("bounds.recovery_s", number, 0)),
-            address_reuse=float(self._take("bounds.addr_reuse_s", number, 0, required=False)),
-        )
-
     def _take(self, name: str, kind: Any, default: Any, *, required: bool = True) -> Any:
         value: Any = self._document
         for part in name.split("."):
--- /dev/null
+++ b/tests/entry/test_workers.py
@@ -0,0 +1,78 @@
+"""What an entry believes of workers: entries that lapse, and memory learnt late."""
+
+from __future__ import annotations
+
+from attrs import define, evolve
+
+from egretford.entry.models import PromptPart, RoutingTable, Worker
+from egretford.entry.workers import LAPSE_SECONDS, REMOVAL_SECONDS, WorkerTable
+from egretford.platform.documents import decode_configuration
+from tests.platform.deployment import make_configuration
+from tests.platform.standins import NullLog
+
+WORKER = Worker("m-1", "models", "10.0.0.1:80", "north-a", 8, leaving=False)
+PROMPT = (PromptPart("shared", 1_000), PromptPart("own", 100))
+
+
+@define
+class FakeClock:
+    time: float = 100.0
+
+    def monotonic(self):
+        return self.time
+
+
+@define
+class FakeRecovery:
+    recovered_at: float | None = None
+
+
+def make_table(recovered_at=None) -> tuple[WorkerTable, FakeClock]:
+    clock = FakeClock()
+    return WorkerTable(clock, FakeRecovery(recovered_at), NullLog()), clock
+
+
+def read_table() -> RoutingTable:
+    return decode_configuration(make_configuration())
+
+
+def test_a_worker_whose_entry_lapsed_in_an_outage_is_used_until_it_should_be_back():
+    workers, clock = make_table(recovered_at=100.0)
+    workers.learn_worker(WORKER)
+    workers.learn_list([])
+    clock.time += LAPSE_SECONDS - 0.1
+    assert workers.list_usable("models")
+    workers.learn_worker(WORKER)
+    clock.time += 0.2
+    assert workers.list_usable("models")
+    workers.note_removed("m-1")
+    clock.time += LAPSE_SECONDS
+    assert not workers.list_usable("models")
+
+
+def test_a_worker_whose_entry_goes_while_the_store_answers_is_removed_soon():
+    workers, clock = make_table()
+    workers.learn_worker(WORKER)
+    workers.note_removed("m-1")
+    clock.time += REMOVAL_SECONDS
+    assert not workers.list_usable("models")
+
+
+def test_a_worker_learnt_before_the_configuration_counts_as_keeping_prompts():
+    workers, _ = make_table()
+    workers.learn_worker(WORKER)
+    workers.learn_configuration(read_table())
+    (tracked,) = workers.list_usable("models")
+    tracked.cache.note_prompt(PROMPT)
+    assert tracked.cache.count_cached(PROMPT) == 1_100
+
+
+def test_a_restart_under_the_same_id_keeps_no_prompt():
+    workers, _ = make_table()
+    workers.learn_configuration(read_table())
+    workers.learn_worker(evolve(WORKER, born=1))
+    (tracked,) = workers.list_usable("models")
+    tracked.cache.note_prompt(PROMPT)
+    workers.learn_worker(evolve(WORKER, born=2))
+    (tracked,) = workers.list_usable("models")
+    assert tracked.cache.count_cached(PROMPT) == 0
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -16,7 +16,7 @@
 from tests.platform.standins import Caller, StoreStandin, WorkerStandin
 
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
-BOUNDS = DeploymentBounds(2.5, 8.0, 2.5, 12.0, 2.0)
+BOUNDS = DeploymentBounds(stop_grace=8.0)
 
 
 def find_free_port() -> int:
@@ -34,12 +34,9 @@
         regions=ZONES,
         peer_port=find_free_port(),
         store_address=store,
-        store_value_bytes=1_048_576,
         bounds=BOUNDS,
-        memory_bytes=150_000_000,
         tolerated_losses=1,
         first_start=True,
-        worker_heartbeat=1.2,
     )
     return InstanceSettings(**(values | changes))
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -213,15 +213,15 @@
     path.write_text(SETTINGS)
     settings = read_instance_settings(path)
     assert settings.peer_address == "10.1.0.38:7380"
-    assert settings.bounds.drain == 2.5 and settings.tolerated_losses == 1
+    assert settings.bounds.stop_grace == 8.0 and settings.tolerated_losses == 1
 
 
 def test_all_faults_of_settings_are_told_with_field_value_and_remedy(tmp_path):
     path = tmp_path / "node.toml"
-    changed = SETTINGS.replace('zone = "north-a"', "zone = 7").replace("memory_mb = 150", "")
+    changed = SETTINGS.replace('zone = "north-a"', "zone = 7").replace("machines = 1", "")
     path.write_text(changed)
     with pytest.raises(InputError) as caught:
         read_instance_settings(path)
     text = str(caught.value)
     assert "zone: is 7; give a value of type str" in text
-    assert "limits.memory_mb: is missing; add this field" in text
+    assert "fault_tolerance.machines: is missing; add this field" in text
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -7,7 +7,7 @@
 import pytest
 
 from egretford.clock import SystemClock
-from egretford.platform.feeds import StoreHealth, build_configuration_feed
+from egretford.platform.feeds import ObjectFeed, StoreHealth, build_configuration_feed
 from egretford.platform.store import MetadataStore
 from tests.platform.deployment import make_configuration
 from tests.platform.standins import NullLog, StoreStandin
@@ -75,3 +75,28 @@
     listing = await client.list_all("things")
     assert len(listing.objects) == 120
     await client.close()
+
+
+async def test_the_store_counts_as_recovered_before_its_first_listing_is_taken(store):
+    """A worker list that lacks entries after an outage must be known to come after it."""
+    clock = SystemClock()
+    client = MetadataStore(store.address, clock)
+    health = StoreHealth(clock, NullLog())
+    seen = []
+
+    class Handler:
+        def replace_all(self, listing):
+            seen.append(health.recovered_at)
+
+        def change(self, item, removed):
+            seen.append(health.recovered_at)
+
+    store.down = True
+    feed = ObjectFeed(client, "config", Handler(), health, clock, NullLog())
+    await feed.start()
+    await asyncio.sleep(0.2)
+    store.down = False
+    await wait_for(lambda: seen, 2.0)
+    await feed.close()
+    await client.close()
+    assert seen[0] is not None
