Keepers count what they answer, and show what they hold

Cause: the keeper's metrics address served an empty page (found by reading). Change: a counter a kind of request and reply, a histogram of its time, gauges of turns, programs, segments, view and readiness. Before: the new test found none of these; after: it passes.

--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -35,7 +35,7 @@
     def __init__(self, settings: InstanceSettings, clock: Clock, metrics: Metrics) -> None:
         self._settings = settings
         self._clock = clock
-        self._metrics = metrics
+        self.metrics = metrics
         self._tasks = TaskGroup()
         self._log = self._make_logger("keeper")
         folder = Path(settings.data_folder)
@@ -49,6 +49,7 @@
             settings.tolerated_losses,
             self._records,
             clock,
+            metrics,
             self._make_logger("service"),
         )
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
@@ -99,7 +100,7 @@
         await self._feed.start()
         await self._copying.start()
         await self._membership.start()
-        self._tasks.spawn(run_every(self._clock, EXPIRE_SECONDS, self._records.expire, self._log))
+        self._tasks.spawn(run_every(self._clock, EXPIRE_SECONDS, self._keep_house, self._log))
         self._log.info(
             "started",
             domain=self._settings.failure_domain,
@@ -107,6 +108,13 @@
             view=self._service.view.number,
         )
 
+    async def _keep_house(self) -> None:
+        await self._records.expire()
+        for name, amount in self._records.counts.items():
+            self.metrics.set_gauge(name, amount)
+        self.metrics.set_gauge("view", self._service.view.number)
+        self.metrics.set_gauge("ready", int(self.is_ready))
+
     def reload(self, settings: InstanceSettings) -> None:
         """Take changed bounds; addresses and the disk stay as they were at the start."""
         self._settings = settings
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -28,11 +28,14 @@
     UnknownView,
 )
 from egretford.keeper.records import Records
+from egretford.metrics import Metrics
 from egretford.policy.copies import must_hold
 from egretford.policy.crashes import CrashTable
 from egretford.policy.views import View
 
 VIEW_FILE = "view"
+# Keepers do not know organisations; their histograms differ by the kind of request.
+ALL_ASKERS = "all"
 
 
 class KeeperService:
@@ -49,6 +52,7 @@
         tolerated_losses: int,
         records: Records,
         clock: Clock,
+        metrics: Metrics,
         log: Any,
     ) -> None:
         self._path = folder / VIEW_FILE
@@ -56,6 +60,7 @@
         self._tolerated = tolerated_losses
         self._records = records
         self._clock = clock
+        self._metrics = metrics
         self._crashes = CrashTable()
         self._log = log
         self._adopting = asyncio.Lock()
@@ -96,6 +101,15 @@
 
     async def answer(self, message: KeeperRequest) -> KeeperReply:
         """Answer one request."""
+        started = self._clock.monotonic()
+        reply = await self._choose_answer(message)
+        kind = type(message).__name__
+        self._metrics.count(f"{kind}.{type(reply).__name__}")
+        seconds = self._clock.monotonic() - started
+        self._metrics.record_seconds("request", ALL_ASKERS, kind, seconds)
+        return reply
+
+    async def _choose_answer(self, message: KeeperRequest) -> KeeperReply:
         if isinstance(message, AdoptView):
             await self.adopt(message.view)
             return Kept()
--- a/tests/keeper/test_copying.py
+++ b/tests/keeper/test_copying.py
@@ -12,6 +12,7 @@
 from egretford.keeper.messages import FetchTurns, KeeperReply, OutdatedView, RecordPage, Turn
 from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
+from egretford.metrics import Metrics
 from egretford.policy.ledger import Charge
 from egretford.policy.views import Member, MemberState, View
 from tests.platform.standins import NullLog
@@ -53,7 +54,7 @@
     records = Records(DiskLog(folder / "records", NullLog()), SystemClock(), NullLog())
     folder.mkdir(parents=True, exist_ok=True)
     records.load()
-    return KeeperService(folder, disk, 1, records, SystemClock(), NullLog()), records
+    return KeeperService(folder, disk, 1, records, SystemClock(), Metrics(), NullLog()), records
 
 
 async def test_an_empty_keeper_catches_up_over_a_link_between_regions(tmp_path):
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from egretford.exposition import render_metrics
 from tests.platform.deployment import make_configuration, run_deployment
 from tests.platform.standins import join_events, make_event
 
@@ -318,3 +319,12 @@
     await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
     ran_on = [w.id for w in deployment.workers if any(a.request_id == "p1" for a in w.arrivals)]
     assert len(ran_on) == 1
+
+
+async def test_a_keeper_counts_what_it_answers(deployment):
+    await ask_turn(deployment.callers[0], b"hello", "t1")
+    await asyncio.sleep(1.1)
+    page = render_metrics(deployment.keepers["keeper-1"].metrics)
+    assert 'egretford_events_total{event="Reserve.Reserved"} 1' in page
+    assert 'egretford_request_seconds_count{tenant="all",class="Keep"} 1' in page
+    assert 'egretford_level{name="turns"}' in page
