Charges of a program are held by a group of keepers instead of by all

Cause: every turn reserved at all keepers and waited for a majority of them, and all copied every charge from all others. Ruled out: far workers (no turn crossed regions); the disks. A keeper that newly belongs to a group answers for it once it has copied from enough others; completions are on its disk. Turns wait only for their own holders, charges are settled in the background; the history is read beside the reservation and from a second holder after 50 ms; charges go without their program's name. Copies list what the asker is to hold.

--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -25,7 +25,8 @@
 )
 from egretford.peer.interface import Peers
 from egretford.policy.copies import rank_copies
-from egretford.policy.views import Member, View, count_quorum
+from egretford.policy.groups import GroupCache, count_group_quorum, list_active
+from egretford.policy.views import Member, View
 
 # A keeper answers within some milliseconds, and within some tens from another region.
 ASK_SECONDS = 1.0
@@ -40,28 +41,38 @@
 
 
 class KeepersUnavailableError(EgretfordError):
-    """Too few keepers answered; some may have taken the request, and `answered` surely did."""
-
-    def __init__(self, message: str, answered: frozenset[Member] = frozenset()) -> None:
-        super().__init__(message)
-        self.answered = answered
+    """Too few keepers answered; some may have taken the request."""
 
 
 @define
 class Round:
-    """One request to all active members of a view, and what they answered so far."""
+    """One request to some members of a view; it needs `needed` replies of type `kind`."""
 
     view: View
+    kind: type
+    needed: int
     tasks: dict[Member, asyncio.Task[KeeperReply]] = Factory(dict)
 
-    def list_replies(self, kind: type) -> dict[Member, Any]:
-        """Return the replies of one type that have come."""
+    @property
+    def replies(self) -> dict[Member, Any]:
+        """The replies of the wanted type that have come."""
         answered = {
             member: task.result()
             for member, task in self.tasks.items()
             if task.done() and not task.cancelled() and task.exception() is None
         }
-        return {member: reply for member, reply in answered.items() if isinstance(reply, kind)}
+        return {m: reply for m, reply in answered.items() if isinstance(reply, self.kind)}
+
+    @property
+    def has_enough(self) -> bool:
+        """Whether as many replies have come as are needed."""
+        return len(self.replies) >= self.needed
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether too few can still come."""
+        pending = sum(not task.done() for task in self.tasks.values())
+        return pending + len(self.replies) < self.needed
 
 
 class KeeperGroup:
@@ -84,6 +95,7 @@
         self._regions = regions
         self._clock = clock
         self._log = log
+        self._groups = GroupCache(tolerated_losses)
         self._tasks = TaskGroup()
         self._down_until: dict[str, float] = {}
         self._copying: set[str] = set()
@@ -105,7 +117,7 @@
             await self._read_newer_view()
 
     def _is_view_small(self) -> bool:
-        return len(self.view.active) < count_quorum(self.view, self._tolerated)
+        return len(self.view.active) <= self._tolerated
 
     @property
     def is_complete(self) -> bool:
@@ -166,9 +178,10 @@
 
         return sorted(members, key=distance)
 
-    def has_quorum(self) -> bool:
-        """Whether enough members are thought to answer."""
-        return len(self.list_answering()) >= count_quorum(self.view, self._tolerated)
+    def find_group(self, program: str) -> list[Member]:
+        """Return the members that hold a program's charges."""
+        disks = self._groups.find(list_active(self.view), program)
+        return [member for member in self.view.active if member.disk in disks]
 
     def is_view_whole(self) -> bool:
         """Whether all that was ever kept is held by some member.
@@ -180,72 +193,80 @@
 
     def list_answering(self) -> list[Member]:
         """Return the active members that are thought to answer."""
-        now = self._clock.monotonic()
-        return [m for m in self.view.active if self._down_until.get(m.disk, 0.0) <= now]
+        return [member for member in self.view.active if self.is_answering(member)]
 
-    async def ask_quorum(
-        self,
-        build: Callable[[Member], KeeperRequest],
-        kind: type,
-        needed: frozenset[Member] = frozenset(),
-        seconds: float | None = None,
+    def is_answering(self, member: Member) -> bool:
+        """Whether a member has not failed lately."""
+        return self._down_until.get(member.disk, 0.0) <= self._clock.monotonic()
+
+    async def ask_group(
+        self, program: str, build: Callable[[Member], KeeperRequest], kind: type
     ) -> Round:
-        """Send a request to all active members; returns once a quorum answered with `kind`.
+        """Send a request to a program's group; returns once a quorum answered with `kind`.
 
-        The quorum must hold all that are `needed`. The others are still waited for in the
-        background. Raises KeepersUnavailableError, at the latest after `seconds`.
+        The others are still waited for in the background. Raises KeepersUnavailableError.
         """
-        answered: frozenset[Member] = frozenset()
         for _ in range(MAX_VIEW_CHANGES):
             if self._is_view_small():
                 # Learnt while the keepers were still joining; any of them knows better.
                 await self._read_newer_view()
-            view = self.view
-            if not self.has_quorum():
-                self._needs_view = True
-                raise KeepersUnavailableError(f"too few keepers answer under view {view.number}")
-            round_ = self._send_round(view, build)
-            if await self._wait_quorum(round_, kind, needed, seconds):
+            view, group = self.view, self.find_group(program)
+            quorum = count_group_quorum(len(group), self._tolerated)
+            if sum(self.is_answering(member) for member in group) < quorum:
+                break
+            round_ = self._send_round(Round(view, kind, quorum), group, build)
+            await self._wait_round(round_, None)
+            if round_.has_enough:
                 return round_
-            answered = frozenset(round_.list_replies(kind))
-            if self.view.number == view.number and not needed:
+            if self.view.number == view.number:
                 # Those that did not answer may have been replaced meanwhile.
                 await self._read_newer_view()
             if self.view.number == view.number:
                 break
         self._needs_view = True
-        raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}", answered)
+        raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}")
 
-    def _send_round(self, view: View, build: Callable[[Member], KeeperRequest]) -> Round:
-        round_ = Round(view)
-        for member in view.active:
-            message = evolve(build(member), view=view.number)
+    async def ask_members(
+        self,
+        members: list[Member],
+        build: Callable[[Member], KeeperRequest],
+        kind: type,
+        seconds: float,
+    ) -> frozenset[Member]:
+        """Send a request to some members; returns those that answered with `kind` in time.
+
+        All are asked once more under a newer view that was learnt on the way.
+        """
+        answered: frozenset[Member] = frozenset()
+        for _ in range(MAX_VIEW_CHANGES):
+            view = self.view
+            round_ = self._send_round(Round(view, kind, len(members)), members, build)
+            await self._wait_round(round_, seconds)
+            answered = frozenset(round_.replies)
+            if round_.has_enough or self.view.number == view.number:
+                break
+        return answered
+
+    def _send_round(
+        self, round_: Round, members: list[Member], build: Callable[[Member], KeeperRequest]
+    ) -> Round:
+        for member in members:
+            message = evolve(build(member), view=round_.view.number)
             task = self._tasks.spawn(self._ask(member, message))
             # Failures are logged where they are met, also those that come after a quorum.
             task.add_done_callback(lambda done: done.cancelled() or done.exception())
             round_.tasks[member] = task
         return round_
 
-    async def _wait_quorum(
-        self, round_: Round, kind: type, needed: frozenset[Member], seconds: float | None
-    ) -> bool:
-        quorum = count_quorum(round_.view, self._tolerated)
+    async def _wait_round(self, round_: Round, seconds: float | None) -> None:
+        """Wait until a round has enough, is hopeless or outdated, or for `seconds`."""
         end = None if seconds is None else self._clock.monotonic() + seconds
-        pending = set(round_.tasks.values())
-        while pending:
+        while not (round_.has_enough or round_.is_hopeless):
+            pending = [task for task in round_.tasks.values() if not task.done()]
             left = None if end is None else max(0.0, end - self._clock.monotonic())
-            done, pending = await asyncio.wait(
-                pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
-            )
+            done, _ = await asyncio.wait(pending, timeout=left, return_when=asyncio.FIRST_COMPLETED)
             if self.view.number > round_.view.number or not done:
-                return False
-            good = round_.list_replies(kind)
-            if len(good) >= quorum and needed <= set(good):
-                return True
-            hopeful = {m for m, task in round_.tasks.items() if task in pending} | set(good)
-            if len(hopeful) < quorum or not needed <= hopeful:
-                return False
-        return False
+                return
 
     async def ask_one(self, member: Member, message: KeeperRequest) -> KeeperReply:
         """Ask one member; raises EgretfordError."""
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -11,7 +11,15 @@
 from egretford.entry.keepers import KeeperGroup, KeepersUnavailableError
 from egretford.entry.models import CallerRequest, Route
 from egretford.errors import EgretfordError, ErrorKind, RequestError, Verdict
-from egretford.keeper.messages import Keep, Kept, Reserve, Reserved, Turn
+from egretford.keeper.messages import (
+    Keep,
+    KeeperReply,
+    Kept,
+    OutdatedView,
+    Reserve,
+    Reserved,
+    Turn,
+)
 from egretford.policy.ledger import Charge, Ledger, fits_budget, merge_ledgers
 from egretford.policy.views import Member
 
@@ -19,7 +27,7 @@
 # their most; turns take some hundred milliseconds.
 BUDGET_WAITS = 3
 BUDGET_WAIT_SECONDS = 0.1
-# How much longer than a quorum the nearest keeper may take to send a history.
+# How long a keeper may take to send a history before the next one is asked as well.
 NEAREST_SECONDS = 0.05
 # A keeper that has not kept a turn after this long is replaced by the next one; a slow disk
 # takes some tens of milliseconds, another region as many.
@@ -42,7 +50,11 @@
     settled: bool = False
 
     async def keep(self, answer_text: bytes, events: int) -> None:
-        """Keep the turn and settle its charge; raises RequestError if too few keepers did."""
+        """Keep the turn; raises RequestError if too few keepers did.
+
+        Its charge is settled in the background, since until then it only counts for more.
+        """
+        self.end(events)
         turn = Turn(
             id=self.request.id,
             previous=self.request.previous_turn,
@@ -52,20 +64,24 @@
             retention=self.route.retention,
             copies=(),
         )
-        await self.turns.keep(self._settle(events), turn)
-        self.settled = True
+        await self.turns.keep(turn)
 
     def end(self, events: int) -> None:
         """Settle the charge in the background, unless that is done."""
         if self.charge is not None and not self.settled:
             self.settled = True
-            self.turns.settle_later(self._settle(events))
+            tokens = events * self.event_tokens
+            self.turns.settle_later(evolve(self.charge, tokens=tokens, settled=True))
 
-    def _settle(self, events: int) -> Charge | None:
-        if self.charge is None:
-            return None
-        tokens = events * self.event_tokens
-        return Charge(self.charge.program, self.charge.request, tokens, settled=True)
+
+def _take_result(task: asyncio.Future[KeeperReply]) -> KeeperReply | None:
+    """Return a finished task's reply, or None if it failed; that was logged where it was asked."""
+    error = task.exception()
+    if error is None:
+        return task.result()
+    if not isinstance(error, EgretfordError):
+        raise error
+    return None
 
 
 class Turns:
@@ -85,12 +101,17 @@
         admission = TurnAdmission(self, request, route, charge, event_tokens)
         if charge is None and previous is None:
             return admission
+        history = None
+        if previous is not None:
+            history = asyncio.ensure_future(self._read_history(request.program, previous))
         try:
             if charge is not None:
-                await self._reserve(request, charge, previous, admission)
-            else:
-                admission.history = await self._read_history(previous, {})
+                await self._reserve(request, charge)
+            if history is not None:
+                admission.history = await history
         except BaseException as error:
+            if history is not None:
+                history.cancel()
             # Nothing ran, so the charge is given back.
             admission.end(0)
             if isinstance(error, KeepersUnavailableError):
@@ -98,41 +119,17 @@
             raise
         return admission
 
-    async def _reserve(
-        self,
-        request: CallerRequest,
-        charge: Charge,
-        previous: str | None,
-        admission: TurnAdmission,
-    ) -> None:
+    async def _reserve(self, request: CallerRequest, charge: Charge) -> None:
         for wait in range(BUDGET_WAITS + 1):
-            holders = self._keepers.rank_copies(charge.program)[: self._keepers.copies]
-            near = self._keepers.rank_by_distance(holders)[:1]
-            round_ = await self._keepers.ask_quorum(
-                lambda member, near=near: Reserve(charge, previous, with_chain=member in near),
-                Reserved,
+            round_ = await self._keepers.ask_group(
+                charge.program, lambda member: Reserve(charge, None, with_chain=False), Reserved
             )
-            replies: dict[Member, Reserved] = round_.list_replies(Reserved)
-            ledger = merge_ledgers(reply.charges for reply in replies.values())
+            ledger = merge_ledgers(reply.charges.unpack() for reply in round_.replies.values())
             if fits_budget(ledger, charge.request, charge.tokens, request.token_budget):
-                break
+                return
             if wait == BUDGET_WAITS or not ledger.has_unsettled(charge.request):
                 raise self._refuse_budget(request, ledger)
             await self._clock.sleep(BUDGET_WAIT_SECONDS)
-        if previous is not None:
-            if near and near[0] in round_.tasks and near[0] not in replies:
-                # The nearest member sends the history; it is mostly just behind.
-                replies |= await self._wait_for(near[0], round_)
-            admission.history = await self._read_history(previous, replies)
-
-    async def _wait_for(self, member: Member, round_: Any) -> dict[Member, Reserved]:
-        try:
-            async with asyncio.timeout(NEAREST_SECONDS):
-                reply = await asyncio.shield(round_.tasks[member])
-        except (EgretfordError, TimeoutError):
-            # Logged where it was asked; another member has the history.
-            return {}
-        return {member: reply} if isinstance(reply, Reserved) else {}
 
     def _refuse_budget(self, request: CallerRequest, ledger: Ledger) -> RequestError:
         self._log.info(
@@ -146,42 +143,58 @@
         )
         return RequestError(ErrorKind.BUDGET_EXHAUSTED, "the program's token budget is spent")
 
-    async def _read_history(self, previous: str, replies: dict[Member, Reserved]) -> bytes:
+    async def _read_history(self, program: str, previous: str) -> bytes:
         """Return the text of a chain of turns, put together from what keepers hold."""
         turns: list[Turn] = []
         wanted: str | None = previous
-        for reply in replies.values():
-            if reply.chain:
-                turns, wanted = list(reply.chain), reply.missing
-                break
-        lacking: set[Member] = set()
-        view = self._keepers.view
-        for member in self._keepers.rank_by_distance(list(view.holders)):
-            if wanted is None:
-                break
-            known = replies.get(member)
-            if known is not None and known.missing == wanted:
-                lacking.add(member)
-                continue
-            try:
-                reply = await self._keepers.ask_one(member, Reserve(None, wanted, with_chain=True))
-            except EgretfordError:
-                # Logged where it was asked; without its answer nothing is certain.
-                continue
-            if not isinstance(reply, Reserved):
-                continue
-            if reply.missing == wanted:
-                lacking.add(member)
-            else:
-                turns, wanted, lacking = [*reply.chain, *turns], reply.missing, set()
-        if wanted is not None:
-            raise self._refuse_history(previous, wanted, lacking)
+        while wanted is not None:
+            found = await self._find_chain(program, wanted, previous)
+            turns, wanted = [*found.chain, *turns], found.missing
         return b"".join(turn.request_text + turn.answer_text for turn in turns)
 
-    def _refuse_history(self, previous: str, wanted: str, lacking: set[Member]) -> RequestError:
+    async def _find_chain(self, program: str, wanted: str, previous: str) -> Reserved:
+        """Return a keeper's part of a chain, from the nearest that has its newest turn."""
+        queue = self._order_holders(program)
+        asked: dict[asyncio.Future[KeeperReply], Member] = {}
+        lacking: set[str] = set()
+        try:
+            while queue or asked:
+                if queue:
+                    member = queue.pop(0)
+                    message = Reserve(None, wanted, with_chain=True)
+                    asked[asyncio.ensure_future(self._keepers.ask_one(member, message))] = member
+                done, _ = await asyncio.wait(
+                    asked,
+                    timeout=NEAREST_SECONDS if queue else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    member = asked.pop(task)
+                    reply = _take_result(task)
+                    if isinstance(reply, Reserved) and reply.chain:
+                        return reply
+                    if isinstance(reply, Reserved):
+                        lacking.add(member.disk)
+                    elif isinstance(reply, OutdatedView):
+                        known = lacking | {other.disk for other in asked.values()}
+                        newest = self._order_holders(program)
+                        queue = [other for other in newest if other.disk not in known]
+        finally:
+            for task in asked:
+                task.cancel()
+        raise self._refuse_history(previous, wanted, lacking)
+
+    def _order_holders(self, program: str) -> list[Member]:
+        """Return all members that may hold a program's turns, the likeliest and nearest first."""
+        likely = self._keepers.rank_copies(program)[: self._keepers.copies]
+        others = [member for member in self._keepers.view.holders if member not in likely]
+        rank = self._keepers.rank_by_distance
+        return [*rank(likely), *rank(others)]
+
+    def _refuse_history(self, previous: str, wanted: str, lacking: set[str]) -> RequestError:
         view = self._keepers.view
         certain = wanted == previous and self._keepers.is_view_whole()
-        certain = certain and lacking >= set(view.holders)
+        certain = certain and lacking >= {member.disk for member in view.holders}
         self._log.info(
             "a turn was not found",
             turn=previous,
@@ -195,43 +208,28 @@
             return RequestError(ErrorKind.UNKNOWN_CALL, "no such turn")
         return RequestError(ErrorKind.STORE_UNAVAILABLE, "the turn cannot be read now")
 
-    async def keep(self, charge: Charge | None, turn: Turn | None) -> None:
-        """Write to the keepers; raises RequestError if too few took it.
+    async def keep(self, turn: Turn) -> None:
+        """Write a turn to a few near keepers; raises RequestError if too few took it.
 
-        The charge goes to all. The turn goes to a few near ones, and to further ones where
-        one of these does not answer soon.
+        Further ones take the place of those that do not answer soon.
         """
-        silent: set[Member] = set()
-        while True:
-            holders = self._choose_holders(turn, silent)
-            try:
-                await self._write(charge, turn, holders)
-                return
-            except KeepersUnavailableError as error:
-                lacking = {member for member in holders if member not in error.answered}
-                silent |= lacking
-                if not lacking or len(self._choose_holders(turn, silent)) < len(holders):
-                    raise RequestError(
-                        ErrorKind.STORE_UNAVAILABLE,
-                        f"the turn could not be kept: {error}",
-                        verdict=Verdict.MAY_HAVE_RUN,
-                    ) from error
-
-    def _choose_holders(self, turn: Turn | None, silent: set[Member]) -> list[Member]:
-        if turn is None:
-            return []
-        ranked = self._keepers.rank_copies(turn.program)
-        return [m for m in ranked if m not in silent][: self._keepers.copies]
-
-    async def _write(self, charge: Charge | None, turn: Turn | None, holders: list[Member]) -> None:
-        if turn is not None:
-            turn = evolve(turn, copies=tuple(member.name for member in holders))
-        await self._keepers.ask_quorum(
-            lambda member: Keep(charge, turn if member in holders else None),
-            Kept,
-            needed=frozenset(holders),
-            seconds=COPY_SECONDS if holders else None,
-        )
+        held: frozenset[Member] = frozenset()
+        asked: set[Member] = set()
+        while lacking := self._keepers.copies - len(held):
+            ranked = self._keepers.rank_copies(turn.program)
+            chosen = [member for member in ranked if member not in asked][:lacking]
+            if len(chosen) < lacking:
+                raise RequestError(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    f"the turn is kept by {len(held)} keepers only, of {len(asked)} asked",
+                    verdict=Verdict.MAY_HAVE_RUN,
+                )
+            asked.update(chosen)
+            names = tuple(sorted(member.name for member in {*held, *chosen}))
+            message = Keep(None, evolve(turn, copies=names))
+            held |= await self._keepers.ask_members(
+                chosen, lambda member, message=message: message, Kept, COPY_SECONDS
+            )
 
     def settle_later(self, charge: Charge) -> None:
         """Settle a charge in the background; until then it counts at its most."""
@@ -240,9 +238,11 @@
     async def _settle(self, charge: Charge) -> None:
         for _ in range(SETTLE_TRIES):
             try:
-                await self.keep(charge, None)
+                await self._keepers.ask_group(
+                    charge.program, lambda member: Keep(charge, None), Kept
+                )
                 return
-            except RequestError:
+            except KeepersUnavailableError:
                 await self._clock.sleep(SETTLE_PAUSE_SECONDS)
         self._log.warning(
             "a charge stays unsettled and counts at its most",
--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, Protocol
 
 from attrs import define
 
 from egretford.clock import Clock
 from egretford.controllers.loops import TaskGroup
 from egretford.errors import EgretfordError
+from egretford.keeper.log import DiskError
 from egretford.keeper.messages import (
     AdoptView,
     FetchTurns,
@@ -24,7 +25,8 @@
 from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
 from egretford.peer.interface import Peers
-from egretford.policy.views import Member, MemberState
+from egretford.policy.groups import Completion, list_counted
+from egretford.policy.views import Member, MemberState, View
 
 # How often each other keeper is asked; also how soon a silent one is noticed.
 COPY_SECONDS = 0.5
@@ -38,21 +40,30 @@
 class Source:
     """What is known of one other keeper; `heard_at` in monotonic seconds.
 
-    `position` and `turns_after` tell how far its charges and its turns were copied,
-    `copied_view` is the newest view under which all were, and `scanned` holds the members by
-    which its turns were looked through last.
+    Records up to `position` were copied while `former` were the active disks. After a change
+    of members they are looked through again; `scanned` tells how far, for `members`.
+    `copied_view` and `copied_generation` are the newest under which all were copied.
     """
 
     member: Member
     heard_at: float
     lifetime: str = ""
     position: int = 0
-    turns_after: int = 0
+    former: tuple[str, ...] = ()
+    scanned: int = 0
+    members: tuple[Member, ...] = ()
     copied_view: int = 0
-    scanned: tuple[Member, ...] = ()
+    copied_generation: int = 0
     ready: bool = False
 
 
+class CompletionStore(Protocol):
+    """Where the newest completion survives a restart."""
+
+    async def store(self, completion: Completion) -> None:
+        """Write a completion; raises DiskError."""
+
+
 class Copying:
     """One loop a keeper; what a keeper missed while it was down comes the same way."""
 
@@ -63,9 +74,11 @@
         service: KeeperService,
         records: Records,
         peers: Peers,
+        completions: CompletionStore,
         clock: Clock,
         log: Any,
     ) -> None:
+        self._completions = completions
         self._name = name
         self._disk = disk
         self._service = service
@@ -86,6 +99,11 @@
         """Stop copying."""
         await self._tasks.close()
 
+    def take_view(self) -> None:
+        """Follow a view that was just adopted, without waiting for the next round."""
+        self.follow_view()
+        self.hurry()
+
     def follow_view(self) -> None:
         """Copy from the members of the newest view, and from no others."""
         members = {m.disk: m for m in self._service.view.members if m.disk != self._disk}
@@ -131,15 +149,16 @@
     async def _copy_page(self, source: Source) -> bool:
         """Copy one page; returns whether more follows."""
         view = self._service.view
-        if source.scanned != view.members:
-            # Other members are to hold other turns: look through all of them again.
-            source.turns_after, source.scanned = 0, view.members
+        if source.members != view.members:
+            # Others are to hold other records: look through all of them again.
+            source.scanned, source.members = 0, view.members
         message = ListRecords(
             self._disk,
             self._name,
             source.lifetime,
             source.position,
-            source.turns_after,
+            source.scanned,
+            source.former,
             view=view.number,
         )
         reply = await self._ask(source, message)
@@ -151,15 +170,12 @@
                 await self._ask(source, AdoptView(view))
                 return True
             case RecordPage():
-                before = source.turns_after
-                if not await self._take(source, reply):
+                before = source.scanned
+                if not await self._take(source, reply, view):
                     return True
-                source.ready = reply.ready
-                if not reply.more and source.copied_view < view.number:
-                    source.copied_view = view.number
                 # One that is emptied learns by the next request that all of it is copied.
                 waits = source.member.state is MemberState.LEAVING
-                return reply.more or (waits and source.turns_after > before)
+                return reply.more or (waits and source.scanned > before)
         return False
 
     async def _ask(self, source: Source, message: KeeperRequest) -> KeeperReply:
@@ -167,7 +183,7 @@
         source.heard_at = self._clock.monotonic()
         return reply
 
-    async def _take(self, source: Source, page: RecordPage) -> bool:
+    async def _take(self, source: Source, page: RecordPage, view: View) -> bool:
         """Write a page's records; False if the view changed before its turns were fetched."""
         # One source at a time, so that no turn comes twice over a narrow link.
         async with self._fetching:
@@ -184,9 +200,39 @@
                 missing = [t for t in missing if not self._records.holds(t)]
                 if not reply.turns:
                     missing = [t for t in missing if t not in asked]
-        await self._records.write(list(page.charges))
-        if source.lifetime != page.lifetime:
-            source.lifetime, source.position = page.lifetime, 0
-        source.position = max(source.position, page.position)
-        source.turns_after = page.position
+        await self._records.write([c for charges in page.charges for c in charges.unpack()])
+        self._note_page(source, page, view)
         return True
+
+    def _note_page(self, source: Source, page: RecordPage, view: View) -> None:
+        if source.lifetime != page.lifetime:
+            source.lifetime, source.position, source.former = page.lifetime, 0, ()
+        source.ready = page.ready
+        source.scanned = page.position
+        if source.scanned >= source.position:
+            source.position = source.scanned
+            source.former = list_counted(view, self._disk)
+        if not page.more:
+            source.copied_view = max(source.copied_view, view.number)
+            if source.copied_generation < view.generation:
+                source.copied_generation = view.generation
+                self.note_copied()
+
+    def note_copied(self) -> None:
+        """Tell the service, and the disk, if enough is copied under the newest view."""
+        view = self._service.view
+        uncopied = {
+            disk
+            for disk, source in self.sources.items()
+            if source.member.state is not MemberState.JOINING
+            and source.copied_generation < view.generation
+        }
+        if self._service.note_copied(uncopied):
+            self._tasks.spawn(self._store_completion())
+
+    async def _store_completion(self) -> None:
+        try:
+            await self._completions.store(self._service.memory.completion)
+        except DiskError as error:
+            # After a restart it will be copied once more.
+            self._log.warning("the completion could not be written", error=str(error))
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -9,6 +9,7 @@
 from egretford.clock import Clock
 from egretford.controllers.loops import TaskGroup, run_every
 from egretford.instance import InstanceSettings
+from egretford.keeper.completions import CompletionFile
 from egretford.keeper.copying import Copying
 from egretford.keeper.log import DiskLog, DurableMarker, write_file_durably
 from egretford.keeper.membership import Membership
@@ -26,6 +27,7 @@
 
 IDENTITY_FILE = "disk-id"
 READY_FILE = "ready"
+COMPLETION_FILE = "completion"
 EXPIRE_SECONDS = 1.0
 
 
@@ -56,15 +58,20 @@
         self._server = StreamPeerServer(
             me.address, self._service.answer, self._make_logger("peer"), KeeperRequest, KeeperReply
         )
+        self._completions = CompletionFile(
+            folder / COMPLETION_FILE, self._make_logger("completions")
+        )
         self._copying = Copying(
             settings.name,
             disk,
             self._service,
             self._records,
             self._peers,
+            self._completions,
             clock,
             self._make_logger("copying"),
         )
+        self._service.on_adopted = self._copying.take_view
         self._store = MetadataStore(settings.store_address, clock)
         health = StoreHealth(clock, self._make_logger("store"))
         evacuations = StoredEvacuations(self._store, self._make_logger("evacuation"))
@@ -95,7 +102,7 @@
     async def start(self) -> None:
         """Read the disk, then answer and join."""
         self._records.load()
-        self._service.load_view()
+        self._service.load_view(self._completions.load())
         await self._server.start()
         await self._feed.start()
         await self._copying.start()
--- a/egretford/keeper/membership.py
+++ b/egretford/keeper/membership.py
@@ -126,6 +126,7 @@
     async def step(self) -> None:
         """Do what the newest view asks for."""
         self._copying.follow_view()
+        self._copying.note_copied()
         try:
             await self._step_view()
         except VersionConflictError:
@@ -164,7 +165,6 @@
     async def _learn_from_store(self) -> None:
         view, _ = await self._views.read()
         await self._service.adopt(view)
-        self._copying.follow_view()
 
     async def _replace(self, change: Any) -> View:
         """Change the newest view of the store, and adopt the outcome."""
@@ -172,8 +172,6 @@
         changed = change(view)
         await self._views.replace(changed, revision)
         await self._service.adopt(changed)
-        self._copying.follow_view()
-        self._copying.hurry()
         return changed
 
     # Joining
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from attrs import field, frozen
 
 from egretford.codec import register_union
@@ -29,6 +31,25 @@
 
 
 Record = Charge | Turn
+# A charge without its program: request, tokens, and whether it is settled.
+ChargeRow = tuple[str, int, bool]
+
+
+@frozen
+class ProgramCharges:
+    """Charges of one program, in the short form that messages have."""
+
+    program: str
+    rows: tuple[ChargeRow, ...]
+
+    @classmethod
+    def pack(cls, program: str, charges: Iterable[Charge]) -> ProgramCharges:
+        """Shorten charges that all belong to `program`."""
+        return cls(program, tuple((c.request, c.tokens, c.settled) for c in charges))
+
+    def unpack(self) -> list[Charge]:
+        """Return the charges in full."""
+        return [Charge(self.program, *row) for row in self.rows]
 
 
 @frozen
@@ -59,7 +80,7 @@
     `missing` names the first turn of the chain that is not held here.
     """
 
-    charges: tuple[Charge, ...]
+    charges: ProgramCharges | None
     chain: tuple[Turn, ...]
     missing: str | None
 
@@ -82,22 +103,23 @@
 class ListRecords:
     """Asks for what a keeper took after a position of one of its lifetimes.
 
-    `asker` is the asking keeper's disk, `asker_name` its instance. Turns are listed after
-    `turns_after`, which is at most `position`: they are looked through again whenever other
-    members are to hold them.
+    `asker` is the asking keeper's disk, `asker_name` its instance. Records up to `position`
+    were copied as far as the asker was to hold them when `former` were the active disks; with
+    other ones they are looked through again, after `scanned`.
     """
 
     asker: str
     asker_name: str
     lifetime: str
     position: int
-    turns_after: int
+    scanned: int
+    former: tuple[str, ...]
     view: int = field(default=0, kw_only=True)
 
 
 @frozen
 class RecordPage:
-    """Charges in full, and ids of the turns that the asker is to hold.
+    """Charges, and ids of turns, that the asker is to hold.
 
     `position` is how far the records were looked through, `more` tells that another page
     follows, `ready` whether the keeper holds all that it is to hold.
@@ -105,7 +127,7 @@
 
     lifetime: str
     position: int
-    charges: tuple[Charge, ...]
+    charges: tuple[ProgramCharges, ...]
     turns: tuple[str, ...]
     more: bool
     ready: bool
--- a/egretford/keeper/records.py
+++ b/egretford/keeper/records.py
@@ -39,6 +39,27 @@
     segments: dict[str, int] = Factory(dict)
 
 
+@define
+class RecordList:
+    """Charges by program and ids of turns, up to a position; `more` tells if more follow."""
+
+    position: int
+    charges: dict[str, list[Charge]] = Factory(dict)
+    turns: list[str] = Factory(list)
+    size: int = 0
+    more: bool = False
+
+    def add_charge(self, charge: Charge) -> None:
+        """Add a charge."""
+        self.charges.setdefault(charge.program, []).append(charge)
+        self.size += 1
+
+    def add_turn(self, turn_id: str) -> None:
+        """Add a turn."""
+        self.turns.append(turn_id)
+        self.size += 1
+
+
 class Records:
     """Turns and charges; times in monotonic seconds, counted anew after a restart."""
 
@@ -134,25 +155,27 @@
             held.expires_at = max(held.expires_at, lasting)
 
     def list_after(
-        self, position: int, turns_after: int, is_wanted: Callable[[Turn], bool]
-    ) -> tuple[list[Charge], list[str], int, bool]:
-        """Return charges after `position` and ids of wanted turns after `turns_after`.
-
-        Comes with the position up to which both were looked through, and if more follow.
+        self,
+        position: int,
+        is_charge_wanted: Callable[[str, int], bool],
+        is_turn_wanted: Callable[[Turn], bool],
+    ) -> RecordList:
+        """Return what is wanted of the records after a position.
+
+        A charge is judged by its program and its own position.
         """
-        charges: list[Charge] = []
-        turns: list[str] = []
-        last = turns_after
-        for key, at in self._iterate_after(turns_after):
-            if len(charges) + len(turns) >= PAGE_RECORDS:
-                return charges, turns, last, True
+        found = RecordList(position)
+        for key, at in self._iterate_after(position):
+            if found.size >= PAGE_RECORDS:
+                found.more = True
+                break
             if key[0] == "charge":
-                if at > position:
-                    charges.append(self._ledgers[key[1]].ledger.charges[key[2]])
-            elif is_wanted(self._turns[key[1]].turn):
-                turns.append(key[1])
-            last = at
-        return charges, turns, last, False
+                if is_charge_wanted(key[1], at):
+                    found.add_charge(self._ledgers[key[1]].ledger.charges[key[2]])
+            elif is_turn_wanted(self._turns[key[1]].turn):
+                found.add_turn(key[1])
+            found.position = at
+        return found
 
     def _iterate_after(self, position: int) -> list[tuple[tuple[str, ...], int]]:
         newest = []
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -20,10 +22,12 @@
     ListRecords,
     NotReady,
     OutdatedView,
+    ProgramCharges,
     RecordPage,
     Reserve,
     Reserved,
     ShareCrashes,
+    Turn,
     TurnPage,
     UnknownView,
 )
@@ -31,11 +35,14 @@
 from egretford.metrics import Metrics
 from egretford.policy.copies import must_hold
 from egretford.policy.crashes import CrashTable
+from egretford.policy.groups import Completion, GroupCache, GroupMemory, list_counted
 from egretford.policy.views import View
 
 VIEW_FILE = "view"
 # Keepers do not know organisations; their histograms differ by the kind of request.
 ALL_ASKERS = "all"
+# How long a reservation waits for charges that are being copied; entries wait a second.
+COVER_SECONDS = 0.5
 
 
 class KeeperService:
@@ -58,6 +65,9 @@
         self._path = folder / VIEW_FILE
         self._disk = disk
         self._tolerated = tolerated_losses
+        self._groups = GroupCache(tolerated_losses)
+        self.memory = GroupMemory(disk, self._groups)
+        self._completed = asyncio.Event()
         self._records = records
         self._clock = clock
         self._metrics = metrics
@@ -65,18 +75,21 @@
         self._log = log
         self._adopting = asyncio.Lock()
         self.view = View()
+        self.on_adopted: Callable[[], None] | None = None
         self.ready = False
-        # By asking keeper: the view and the position up to which it holds its turns of this one.
+        # By asking keeper: the view and the position up to which it has looked through this one.
         self.copied_by: dict[str, tuple[int, int]] = {}
 
-    def load_view(self) -> None:
-        """Take the view that this disk last saw."""
+    def load_view(self, completion: Completion) -> None:
+        """Take the view and the completion that this disk last had."""
         try:
             self.view = decode_bytes(self._path.read_bytes(), View)
         except FileNotFoundError:
             return
         except Exception as error:
             self._log.error("the view on disk cannot be read; the store has it", error=repr(error))
+        else:
+            self.memory.restore(completion, self.view)
 
     async def adopt(self, view: View) -> None:
         """Take a newer view; raises DiskError."""
@@ -89,6 +102,7 @@
                 raise DiskError(repr(error)) from error
             known = {member.disk for member in self.view.members}
             self.view = view
+            self.memory.adopt(view)
             if view.find(self._disk) is None:
                 self.ready = False
             self._log.info(
@@ -97,7 +111,32 @@
                 members=[member.name for member in view.members],
                 new=[member.name for member in view.members if member.disk not in known],
                 ready=self.ready,
+                complete=self.memory.is_complete,
             )
+            if self.on_adopted is not None:
+                self.on_adopted()
+
+    def note_copied(self, uncopied: set[str]) -> bool:
+        """Note from which other members not all is copied; returns whether that is enough."""
+        if not self.memory.complete(self.view, uncopied):
+            return False
+        self._completed.set()
+        self._completed = asyncio.Event()
+        self._log.info(
+            "holds all charges of its programs",
+            view=self.view.number,
+            generation=self.view.generation,
+            without=sorted(uncopied),
+        )
+        return True
+
+    async def _wait_covered(self, program: str) -> bool:
+        """Wait a little until all charges of a program are copied; returns whether they are."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(COVER_SECONDS):
+                while not self.memory.covers(program):
+                    await self._completed.wait()
+        return self.memory.covers(program)
 
     async def answer(self, message: KeeperRequest) -> KeeperReply:
         """Answer one request."""
@@ -136,6 +175,8 @@
     async def _reserve(self, message: Reserve) -> KeeperReply:
         charge = message.charge
         if charge is not None:
+            if not await self._wait_covered(charge.program):
+                return NotReady("copying charges from other keepers")
             await self._records.write([charge])
             if message.view < self.view.number:
                 return OutdatedView(self.view)
@@ -144,7 +185,10 @@
             chain, missing = self._records.read_chain(message.previous)
             if missing is None:
                 self._records.renew_chain(chain)
-        charges = self._records.list_charges(charge.program) if charge is not None else ()
+        charges = None
+        if charge is not None:
+            held = self._records.list_charges(charge.program)
+            charges = ProgramCharges.pack(charge.program, held)
         return Reserved(charges, chain if message.with_chain else (), missing)
 
     async def _keep(self, message: Keep) -> KeeperReply:
@@ -155,22 +199,30 @@
         return Kept()
 
     def _list(self, message: ListRecords) -> RecordPage:
+        """List what the asker is to hold under the view, and did not have to before."""
         known = message.lifetime == self._records.lifetime
-        position, turns_after = (message.position, message.turns_after) if known else (0, 0)
-        self.copied_by[message.asker] = (message.view, turns_after)
-        charges, turns, last, more = self._records.list_after(
-            position,
-            turns_after,
-            lambda turn: must_hold(
-                self.view, message.asker_name, turn.id, turn.copies, self._tolerated
-            ),
-        )
+        position = message.position if known else 0
+        scanned = message.scanned if known else 0
+        self.copied_by[message.asker] = (message.view, scanned)
+        view, groups = self.view, self._groups
+        counted = list_counted(view, message.asker)
+
+        def is_charge_wanted(program: str, at: int) -> bool:
+            if message.asker not in groups.find(counted, program):
+                return False
+            return at > position or message.asker not in groups.find(message.former, program)
+
+        def is_turn_wanted(turn: Turn) -> bool:
+            return must_hold(view, message.asker_name, turn.id, turn.copies, self._tolerated)
+
+        found = self._records.list_after(scanned, is_charge_wanted, is_turn_wanted)
+        charges = [ProgramCharges.pack(*item) for item in found.charges.items()]
         return RecordPage(
             self._records.lifetime,
-            last,
+            found.position,
             tuple(charges),
-            tuple(turns),
-            more,
+            tuple(found.turns),
+            found.more,
             self.ready,
         )
 
--- a/egretford/policy/views.py
+++ b/egretford/policy/views.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from enum import StrEnum
 
 from attrs import evolve, frozen
@@ -36,6 +37,7 @@
 class View:
     """The keepers under one number; higher numbers replace lower ones.
 
+    `generation` counts the changes of the active members.
     `dropped` lists the disks of members that were removed while they could not be reached:
     what only they hold may come back with them.
     """
@@ -43,6 +45,7 @@
     number: int = 0
     members: tuple[Member, ...] = ()
     dropped: tuple[str, ...] = ()
+    generation: int = 0
 
     @property
     def active(self) -> tuple[Member, ...]:
@@ -64,15 +67,22 @@
     return max(tolerated_losses + 1, len(view.active) // 2 + 1)
 
 
+def _advance(view: View, members: Iterable[Member], dropped: Iterable[str]) -> View:
+    """Return the view after `view`; its generation is new if other members are active."""
+    after = View(view.number + 1, tuple(members), tuple(dropped), view.generation)
+    same = {m.disk for m in after.active} == {m.disk for m in view.active}
+    return after if same else evolve(after, generation=view.generation + 1)
+
+
 def add_member(view: View, member: Member) -> View:
     """Return the next view with a member that begins to copy; the first one is active."""
-    others = tuple(
+    others = [
         m
         for m in view.members
         if m.disk != member.disk and not (m.name == member.name and m.state is MemberState.JOINING)
-    )
+    ]
     state = MemberState.JOINING if others else MemberState.ACTIVE
-    return View(view.number + 1, (*others, evolve(member, state=state)), view.dropped)
+    return _advance(view, [*others, evolve(member, state=state)], view.dropped)
 
 
 def activate_member(view: View, disk: str, unreachable: frozenset[str]) -> View:
@@ -87,30 +97,25 @@
             kept.append(evolve(member, state=MemberState.ACTIVE))
         elif member.name != mine.name and member.disk not in unreachable:
             kept.append(member)
-    dropped = {*view.dropped, *unreachable} - {disk}
-    return View(view.number + 1, tuple(kept), tuple(sorted(dropped)))
+    return _advance(view, kept, sorted({*view.dropped, *unreachable} - {disk}))
 
 
 def mark_leaving(view: View, disk: str) -> View:
     """Return the next view, in which a member no longer counts but is still read."""
-    members = tuple(
-        evolve(m, state=MemberState.LEAVING) if m.disk == disk else m for m in view.members
-    )
-    return evolve(view, number=view.number + 1, members=members)
+    members = [evolve(m, state=MemberState.LEAVING) if m.disk == disk else m for m in view.members]
+    return _advance(view, members, view.dropped)
 
 
 def remove_member(view: View, disk: str) -> View:
     """Return the next view without a member whose records are all held by others."""
-    members = tuple(member for member in view.members if member.disk != disk)
-    return evolve(view, number=view.number + 1, members=members)
+    return _advance(view, [m for m in view.members if m.disk != disk], view.dropped)
 
 
 def drop_member(view: View, disk: str) -> View:
     """Return the next view without a member that cannot be reached."""
-    return evolve(remove_member(view, disk), dropped=(*view.dropped, disk))
+    return _advance(view, [m for m in view.members if m.disk != disk], (*view.dropped, disk))
 
 
 def forget_dropped(view: View, disk: str) -> View:
     """Return the next view, in which a dropped member's records are past their retention."""
-    dropped = tuple(other for other in view.dropped if other != disk)
-    return evolve(view, number=view.number + 1, dropped=dropped)
+    return _advance(view, view.members, [other for other in view.dropped if other != disk])
