Stop programs that loop without asking again; tell callers when to come back by age

Refused turns were told 0.1 to 0.3 s whatever was in the way, so that a turn's six attempts were used up within 1.5 s of an outage of keepers (mix of Hide Desk: a quarter refused). Ruled out: waiting at the entry, which holds callers for nothing. Change: settled charges that leave no room stop a program for good, at once; the comeback advice grows with the age of the obstacle, from 0.1 to 1 s, spread.

--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from egretford.clock import Clock
@@ -17,11 +19,14 @@
 from egretford.http.server import CallerGoneError, HttpServer, Responder
 from egretford.metrics import Metrics
 from egretford.platform.wire import decode_request, encode_refusal_fields
+from egretford.policy.comeback import ComebackAdvice
 from egretford.policy.crashes import Crash, make_fingerprint
 from egretford.policy.routes import RouteIndex, choose_upstream
 
-# Callers that come back at once would find the same; spread, so that they do not return as one.
-RETRY_AFTER_SECONDS = (0.1, 0.3)
+# What holds up a turn whose records cannot be read or reserved; else it is the upstream.
+KEEPERS = "keepers"
+# Refusals that a later attempt may pass.
+HELD_UP = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.OVERLOADED, ErrorKind.TIMEOUT})
 # How long a refused caller is told to stay away while this entry has no configuration.
 STARTING_RETRY_SECONDS = (0.3, 0.6)
 _RETRYABLE_STATUS = 503
@@ -48,6 +53,7 @@
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
+        self._comeback = ComebackAdvice(rng)
         self._log = log
         self._index: RouteIndex | None = None
         self._server: HttpServer | None = None
@@ -129,9 +135,11 @@
             deadline=started + limit,
             on_crash=lambda worker: self._crashes.note(Crash(fingerprint, worker)),
         )
-        admission = await self._admit(job)
+        with self._advise_comeback(KEEPERS):
+            admission = await self._admit(job)
         try:
-            await self._forwarder.run(job)
+            with self._advise_comeback(job.upstream):
+                await self._forwarder.run(job)
         finally:
             if admission is not None:
                 admission.end(job.events)
@@ -150,6 +158,18 @@
             config=self.configuration_version,
         )
 
+    @contextmanager
+    def _advise_comeback(self, obstacle: str) -> Iterator[None]:
+        """Add to a refusal when to come back, by how long the obstacle has been in the way."""
+        try:
+            yield
+        except RequestError as error:
+            if error.verdict is Verdict.NOT_RUN and error.kind in HELD_UP:
+                now = self._clock.monotonic()
+                error.retry_after_seconds = self._comeback.advise(obstacle, now)
+            raise
+        self._comeback.note_passed(obstacle)
+
     async def _admit(self, job: Forwarding) -> TurnAdmission | None:
         """Reserve the turn's tokens and rebuild its prompt, where the route asks for either."""
         request, route = job.request, job.route
@@ -186,9 +206,10 @@
             status = _RETRYABLE_STATUS if retryable else status
         else:
             status = 504 if error.kind is ErrorKind.TIMEOUT else 502
-        retry_after = error.retry_after_seconds
-        if status == _RETRYABLE_STATUS and retry_after is None:
-            retry_after = self._rng.uniform(*RETRY_AFTER_SECONDS)
+        retry_after = None
+        if status == _RETRYABLE_STATUS:
+            now = self._clock.monotonic()
+            retry_after = error.retry_after_seconds or self._comeback.advise(error.kind, now)
         self._metrics.count(f"refused.{error.kind}")
         self._log.info(
             "refused",
@@ -199,6 +220,7 @@
             verdict=error.verdict.value,
             reason=error.message,
             started=responder.started,
+            retry_after_s=None if retry_after is None else round(retry_after, 3),
             ms=round((self._clock.monotonic() - http.received_at) * 1_000, 1),
         )
         if responder.gone:
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -20,7 +20,7 @@
     Reserved,
     Turn,
 )
-from egretford.policy.ledger import Charge, Ledger, fits_budget, merge_ledgers
+from egretford.policy.ledger import Charge, SpentPrograms, fits_budget, merge_ledgers
 from egretford.policy.views import Member
 
 # A turn that does not fit waits this often, this long, for others that run to cost less than
@@ -91,6 +91,7 @@
         self._keepers = keepers
         self._clock = clock
         self._log = log
+        self._spent = SpentPrograms()
 
     async def admit(self, request: CallerRequest, route: Route, event_tokens: int) -> TurnAdmission:
         """Reserve the turn's tokens and read its history; raises RequestError."""
@@ -101,9 +102,15 @@
         admission = TurnAdmission(self, request, route, charge, event_tokens)
         if charge is None and previous is None:
             return admission
+        if charge is not None and self._spent.excludes(
+            charge.program, charge.tokens, request.token_budget
+        ):
+            raise self._refuse_budget(request, "known from earlier turns")
         history = None
         if previous is not None:
             history = asyncio.ensure_future(self._read_history(request.program, previous))
+            # It may fail after the reservation did, which is then what the caller is told.
+            history.add_done_callback(lambda task: task.cancelled() or task.exception())
         try:
             if charge is not None:
                 await self._reserve(request, charge)
@@ -120,26 +127,36 @@
         return admission
 
     async def _reserve(self, request: CallerRequest, charge: Charge) -> None:
+        budget = request.token_budget
         for wait in range(BUDGET_WAITS + 1):
             round_ = await self._keepers.ask_group(
                 charge.program, lambda member: Reserve(charge, None, with_chain=False), Reserved
             )
             ledger = merge_ledgers(reply.charges.unpack() for reply in round_.replies.values())
-            if fits_budget(ledger, charge.request, charge.tokens, request.token_budget):
+            if fits_budget(ledger, charge.request, charge.tokens, budget):
                 return
-            if wait == BUDGET_WAITS or not ledger.has_unsettled(charge.request):
-                raise self._refuse_budget(request, ledger)
+            settled = ledger.sum_settled(charge.request)
+            self._spent.note(charge.program, settled)
+            if wait == BUDGET_WAITS or settled + charge.tokens > budget:
+                raise self._refuse_budget(
+                    request,
+                    "by the keepers",
+                    settled=settled,
+                    others=ledger.sum_others(request.id),
+                    turns=len(ledger.charges),
+                    view=round_.view.number,
+                )
             await self._clock.sleep(BUDGET_WAIT_SECONDS)
 
-    def _refuse_budget(self, request: CallerRequest, ledger: Ledger) -> RequestError:
+    def _refuse_budget(self, request: CallerRequest, source: str, **inputs: int) -> RequestError:
         self._log.info(
             "the token budget is spent",
             request=request.id,
             program=request.program,
+            source=source,
             budget=request.token_budget,
-            others=ledger.sum_others(request.id),
             wanted=request.max_output_tokens,
-            turns=len(ledger.charges),
+            **inputs,
         )
         return RequestError(ErrorKind.BUDGET_EXHAUSTED, "the program's token budget is spent")
 
--- a/tests/policy/test_ledger.py
+++ b/tests/policy/test_ledger.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from egretford.policy.ledger import Charge, Ledger, fits_budget, merge_ledgers
+from egretford.policy.ledger import Charge, Ledger, SpentPrograms, fits_budget, merge_ledgers
 
 charges = st.builds(
     Charge,
@@ -60,3 +60,18 @@
             for copy in quorum:
                 copy.merge(Charge("p", str(number), 0, settled=True))
     assert admitted <= budget
+
+
+def test_a_program_that_loops_without_end_is_stopped_without_asking_again():
+    spent = SpentPrograms()
+    assert not spent.excludes("p", tokens=50, budget=100)
+    spent.note("p", 80)
+    spent.note("p", 60)
+    assert spent.excludes("p", tokens=50, budget=100)
+    assert not spent.excludes("p", tokens=20, budget=100)
+    assert not spent.excludes("q", tokens=50, budget=100)
+
+
+def test_what_is_only_reserved_excludes_nothing_for_good():
+    ledger = merge_ledgers([[Charge("p", "a", 40, settled=True), Charge("p", "b", 90)]])
+    assert (ledger.sum_settled("c"), ledger.sum_others("c")) == (40, 130)
