Test: a chain spread over keepers is read whichever is asked first

Where a keeper that was asked late had the newer turns and one asked earlier had the older ones, the earlier one was not asked again: 'a turn was not found turn=780d... missing=5190... lacking=0', 18 times after the final fault that took the one keeper with all of the chain. Ruled out: the copies; both turns were still held, on two keepers.

--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -155,7 +155,7 @@
     """Wait until a process answers a path; ends the script if it does not."""
     url = item["url"] + path
     deadline = time.monotonic() + READY_SECONDS
-    while time.monotonic() < deadline and _is_ours(item["pid"]):
+    while time.monotonic() < deadline and _is_alive(item["pid"]):
         try:
             with urllib.request.urlopen(url, timeout=1):
                 return
@@ -193,14 +193,25 @@
             _send(pid, signal.SIGKILL)
 
 
+def _is_alive(pid: int) -> bool:
+    """Whether the pid is a process and not a zombie."""
+    try:
+        state = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
+    except OSError:
+        return False
+    return state != "Z"
+
+
 def _is_ours(pid: int) -> bool:
-    """Whether the pid is still a process of this project and not a zombie."""
+    """Whether the pid is still a process of this project.
+
+    A process has no command line for an instant after it was started.
+    """
     try:
         command = Path(f"/proc/{pid}/cmdline").read_bytes()
-        state = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
     except OSError:
         return False
-    return b"egretford" in command and state != "Z"
+    return b"egretford" in command and _is_alive(pid)
 
 
 def _send(pid: int, number: int) -> None:
--- /dev/null
+++ b/tests/entry/test_turns.py
@@ -0,0 +1,113 @@
+"""Histories put together from several keepers."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from attrs import define
+
+from egretford.clock import SystemClock
+from egretford.entry.models import CallerRequest, Route, RouteKind
+from egretford.entry.turns import Turns
+from egretford.errors import ErrorKind, PeerUnreachableError, RequestError
+from egretford.http.messages import Headers, HttpRequest
+from egretford.keeper.messages import NotReady, Reserved, Turn
+from egretford.policy.views import Member, MemberState, View
+from tests.platform.standins import NullLog
+
+HTTP = HttpRequest(b"POST", b"/", Headers(), b"", True, 0.0)
+ROUTE = Route("chat", "h", "/", RouteKind.STREAMING, (), 3.0, 0.3, 0, 1, True, 60.0, False)
+
+
+def make_turn(turn_id, previous):
+    return Turn(turn_id, previous, "p", f"in-{turn_id} ".encode(), b"out ", 60.0, ())
+
+
+@define
+class FakeKeepers:
+    """Keepers by name with the turns that each holds; asked in the order given."""
+
+    held: dict[str, dict[str, Turn]]
+    silent: frozenset[str] = frozenset()
+    not_ready: frozenset[str] = frozenset()
+    dropped: int = 0
+    copies: int = 2
+
+    @property
+    def view(self):
+        states = MemberState.ACTIVE
+        return View(3, tuple(Member(n, f"d-{n}", "", "z", states) for n in self.held))
+
+    def rank_copies(self, program):
+        return list(self.view.members)
+
+    def rank_by_distance(self, members):
+        return list(members)
+
+    def is_view_whole(self):
+        return self.dropped <= 1
+
+    async def ask_one(self, member, message):
+        if member.name in self.silent:
+            await asyncio.sleep(0.3)
+            raise PeerUnreachableError(member.name)
+        if member.name in self.not_ready:
+            return NotReady("copying")
+        chain, wanted = [], message.previous
+        while wanted in self.held[member.name]:
+            chain.insert(0, self.held[member.name][wanted])
+            wanted = chain[0].previous
+        return Reserved(None, tuple(chain), wanted)
+
+
+async def read(keepers, previous):
+    turns = Turns(keepers, SystemClock(), NullLog())
+    request = CallerRequest("r", "h", "/", HTTP, program="p", previous_turn=previous)
+    return (await turns.admit(request, ROUTE, 10)).history
+
+
+T1, T2, T3 = make_turn("t1", None), make_turn("t2", "t1"), make_turn("t3", "t2")
+WHOLE = b"in-t1 out in-t2 out in-t3 out "
+
+
+async def test_a_chain_spread_over_keepers_is_read_whichever_is_asked_first():
+    """As after the loss of the one keeper that had all of it."""
+    for held in (
+        {"a": {"t1": T1}, "b": {"t2": T2, "t3": T3}},
+        {"a": {"t2": T2, "t3": T3}, "b": {"t1": T1}},
+        {"a": {"t2": T2}, "b": {"t1": T1, "t3": T3}},
+        {"a": {"t1": T1, "t3": T3}, "b": {"t2": T2}},
+    ):
+        assert await read(FakeKeepers(held), "t3") == WHOLE, held
+
+
+async def test_a_silent_keeper_delays_a_history_only_shortly():
+    keepers = FakeKeepers({"a": {}, "b": {"t1": T1, "t2": T2, "t3": T3}}, silent=frozenset({"a"}))
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    assert await read(keepers, "t3") == WHOLE
+    assert loop.time() - started < 0.2
+
+
+@pytest.mark.parametrize(
+    ("changes", "kind"),
+    [
+        ({}, ErrorKind.UNKNOWN_CALL),
+        ({"silent": frozenset({"b"})}, ErrorKind.STORE_UNAVAILABLE),
+        ({"not_ready": frozenset({"b"})}, ErrorKind.STORE_UNAVAILABLE),
+        ({"dropped": 2}, ErrorKind.STORE_UNAVAILABLE),
+    ],
+)
+async def test_not_found_is_said_only_if_every_keeper_said_so(changes, kind):
+    keepers = FakeKeepers({"a": {"t1": T1}, "b": {}}, **changes)
+    with pytest.raises(RequestError) as caught:
+        await read(keepers, "never")
+    assert caught.value.kind is kind
+
+
+async def test_a_gap_in_a_known_chain_is_not_called_not_found():
+    keepers = FakeKeepers({"a": {"t3": T3}, "b": {}})
+    with pytest.raises(RequestError) as caught:
+        await read(keepers, "t3")
+    assert caught.value.kind is ErrorKind.STORE_UNAVAILABLE
--- /dev/null
+++ b/tests/processes/test_local_deployment.py
@@ -0,0 +1,53 @@
+"""The script that starts a local deployment."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, HTTPServer
+
+import pytest
+
+from scripts import local_deployment as local
+
+
+class Ready(BaseHTTPRequestHandler):
+    def do_GET(self):
+        self.send_response(200)
+        self.end_headers()
+
+    def log_message(self, *arguments):
+        return
+
+
+def test_a_process_without_a_command_line_yet_is_waited_for():
+    """As /proc shows it in the middle of exec; any other command stands for that here."""
+    process = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(10)"])
+    (port,) = local.find_ports(1)
+    server = None
+
+    def serve_later():
+        nonlocal server
+        time.sleep(0.3)
+        server = HTTPServer((local.HOST, port), Ready)
+        server.serve_forever()
+
+    threading.Thread(target=serve_later, daemon=True).start()
+    try:
+        local.wait_ready({"pid": process.pid, "url": f"http://{local.HOST}:{port}"}, "/readyz")
+    finally:
+        process.kill()
+        process.wait()
+        server.shutdown()
+
+
+def test_a_process_that_ended_is_not_waited_for():
+    process = subprocess.Popen([sys.executable, "-c", ""])
+    process.wait()
+    (port,) = local.find_ports(1)
+    started = time.monotonic()
+    with pytest.raises(SystemExit):
+        local.wait_ready({"pid": process.pid, "url": f"http://{local.HOST}:{port}"}, "/readyz")
+    assert time.monotonic() - started < 5.0
