A fault soak over the real programs as separate processes

What: tests/soak: entries and keepers as processes behind loopback proxies that delay, cut, silence, refuse and reset; signals (kill, stop, pause, hangup); keepers' disks wiped, torn or refusing writes; workers that leave, crash, break off; the store cut, reset, without history; changes of configuration. Callers on kept connections. Promises are checked from what callers and workers saw: run at most once, refusals true, bodies and chains byte for byte, answers not mixed, budgets, no kept turn called unknown, every chain goes on within 12 s after. Not covered: the time of day, which decides nothing here; cuts by direction between two single processes (one proxy a process).

--- a/egretford/cli/daemons.py
+++ b/egretford/cli/daemons.py
@@ -26,7 +26,8 @@
         return _run_entry(options.settings)
     from egretford.cli.platform_daemons import run_platform_daemon
 
-    return run_platform_daemon(options.command, options.metrics_port)
+    advertised = getattr(options, "advertise", "")
+    return run_platform_daemon(options.command, options.metrics_port, advertised)
 
 
 def leave_out_unused() -> None:
@@ -47,6 +48,12 @@
         " without it, the settings file that the platform names is used",
     )
     keeper = commands.add_parser("keeper", help="run a keeper on the users' platform")
+    keeper.add_argument(
+        "--advertise",
+        default="",
+        metavar="IP:PORT",
+        help="where other instances reach this keeper, if not where it listens",
+    )
     for command in (entry, keeper):
         command.add_argument("--metrics-port", type=int, default=0, help="0 serves no metrics")
     standin = commands.add_parser("standin", help="run a stand-in of the outside world")
--- a/egretford/cli/platform_daemons.py
+++ b/egretford/cli/platform_daemons.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any, Protocol
 
+from attrs import evolve
+
 from egretford.cli.exits import ExitStatus
 from egretford.clock import SystemClock
 from egretford.errors import InputError
@@ -36,16 +38,16 @@
         """Stop."""
 
 
-def run_platform_daemon(role: str, metrics_port: int) -> int:
+def run_platform_daemon(role: str, metrics_port: int, advertised: str = "") -> int:
     """Run one role from the platform's settings file until SIGTERM."""
     path = find_settings_path()
-    asyncio.run(_serve(role, path, metrics_port))
+    asyncio.run(_serve(role, path, metrics_port, advertised))
     writer.write_out()
     return ExitStatus.OK
 
 
-async def _serve(role: str, path: Path, metrics_port: int) -> None:
-    settings = read_instance_settings(path)
+async def _serve(role: str, path: Path, metrics_port: int, advertised: str) -> None:
+    settings = evolve(read_instance_settings(path), advertised_address=advertised)
     log = make_logger("daemon", instance=settings.name)
     clock, metrics = SystemClock(), Metrics()
     daemon = _build(role, settings, clock, metrics)
--- a/egretford/instance.py
+++ b/egretford/instance.py
@@ -29,8 +29,14 @@
     callers_address: str = ""
     readiness_address: str = ""
     data_folder: str = ""
+    advertised_address: str = ""
 
     @property
     def peer_address(self) -> str:
-        """Where other instances reach this one."""
+        """Where this instance listens to others."""
         return f"{self.ip}:{self.peer_port}"
+
+    @property
+    def reachable_address(self) -> str:
+        """Where other instances reach this one."""
+        return self.advertised_address or self.peer_address
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -44,7 +44,9 @@
         self._disk_log = DiskLog(folder / "records", self._make_logger("disk"))
         self._records = Records(self._disk_log, clock, self._make_logger("records"))
         disk = read_disk_identity(folder)
-        me = Member(settings.name, disk, f"tcp://{settings.peer_address}", settings.failure_domain)
+        me = Member(
+            settings.name, disk, f"tcp://{settings.reachable_address}", settings.failure_domain
+        )
         self._service = KeeperService(
             folder,
             disk,
@@ -56,7 +58,11 @@
         )
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
         self._server = StreamPeerServer(
-            me.address, self._service.answer, self._make_logger("peer"), KeeperRequest, KeeperReply
+            f"tcp://{settings.peer_address}",
+            self._service.answer,
+            self._make_logger("peer"),
+            KeeperRequest,
+            KeeperReply,
         )
         self._completions = CompletionFile(
             folder / COMPLETION_FILE, self._make_logger("completions")
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,102 @@
+"""The promises, checked from what callers got and what workers ran."""
+
+from __future__ import annotations
+
+import re
+from collections import defaultdict
+
+from tests.platform.standins import Arrival, make_event
+from tests.soak.load import EVENT_TOKENS, PROMISES, TURN_TOKENS, Load, whole_stream
+
+EVENT = re.compile(rb"id: (\d+)\n")
+
+
+def check_all(load: Load) -> list[str]:
+    """Return what broke; empty if every promise was kept."""
+    arrivals: dict[str, list[Arrival]] = defaultdict(list)
+    for worker in load.cluster.workers:
+        for arrival in worker.arrivals:
+            arrivals[arrival.request_id].append(arrival)
+    checks = (
+        check_runs_at_most_once,
+        check_promised_refusals,
+        check_bodies,
+        check_answers,
+        check_budgets,
+        check_known_turns,
+    )
+    return [problem for check in checks for problem in check(load, arrivals)]
+
+
+def check_runs_at_most_once(load: Load, arrivals: dict[str, list[Arrival]]):
+    """Only calls that may be repeated reach workers more than once."""
+    for attempt in load.attempts:
+        runs = len(arrivals[attempt.id])
+        if runs > 1 and attempt.kind in ("chat", "book"):
+            yield f"TWICE: {attempt.kind} {attempt.id} ran {runs} times"
+
+
+def check_promised_refusals(load: Load, arrivals: dict[str, list[Arrival]]):
+    """What is refused with a promise has not run."""
+    for attempt in load.attempts:
+        may_repeat = attempt.kind in ("ping", "plan")
+        if attempt.status in PROMISES and arrivals[attempt.id] and not may_repeat:
+            yield f"REFUSED: {attempt.kind} {attempt.id} got {attempt.status} and ran"
+
+
+def check_bodies(load: Load, arrivals: dict[str, list[Arrival]]):
+    """Workers get what callers sent; turns with their whole history before."""
+    for attempt in load.attempts:
+        for arrival in arrivals[attempt.id]:
+            if arrival.body != attempt.expected_body:
+                yield (
+                    f"UNASKED: {attempt.kind} {attempt.id} after {attempt.previous}: "
+                    f"{arrival.body!r} instead of {attempt.expected_body!r}"
+                )
+
+
+def check_answers(load: Load, arrivals: dict[str, list[Arrival]]):
+    """Answers belong to their requests; streams are in order and complete if they end so."""
+    for attempt in load.attempts:
+        answer = attempt.answer
+        if answer is None or answer.status != 200:
+            continue
+        if answer.headers.get_text(b"Request-Id") != attempt.id:
+            yield f"MIXED: {attempt.id} got the answer of another request"
+        if attempt.kind in ("ping", "book"):
+            if answer.whole and answer.body != b"done " + attempt.id.encode():
+                yield f"MIXED: {attempt.id} got {answer.body!r}"
+        elif answer.whole and answer.body != whole_stream():
+            yield f"ORDER: {attempt.id} ended as complete with {answer.body!r}"
+        elif not whole_stream().startswith(answer.body):
+            yield f"ORDER: {attempt.id} got {answer.body!r}"
+
+
+def check_budgets(load: Load, arrivals: dict[str, list[Arrival]]):
+    """The tokens handed out in all turns of a program stay within its budget and one turn."""
+    spent: dict[str, int] = defaultdict(int)
+    for attempt in load.attempts:
+        if attempt.kind == "chat" and attempt.status == 200:
+            spent[attempt.program] += EVENT_TOKENS * len(EVENT.findall(attempt.answer.body))
+    for chain in load.chains:
+        if spent[chain.program] > chain.budget + TURN_TOKENS:
+            yield f"BUDGET: {chain.program} got {spent[chain.program]} of {chain.budget}"
+
+
+def check_known_turns(load: Load, arrivals: dict[str, list[Arrival]]):
+    """A turn that was acknowledged is never called unknown."""
+    for attempt in load.attempts:
+        if attempt.status == 404:
+            yield f"LOST: {attempt.id} was told that turn {attempt.previous} does not exist"
+
+
+def check_kept_turns(load: Load, lasting: dict[str, int | None]) -> list[str]:
+    """After all faults, each program's newest turn can be continued."""
+    return [
+        f"LOST: the turn {turn} cannot be continued: {status}"
+        for turn, status in lasting.items()
+        if status != 200
+    ]
+
+
+assert make_event(1) in whole_stream()
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,109 @@
+"""A TCP proxy on the loopback address that spoils what passes through it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from enum import StrEnum
+
+READ_BYTES = 65_536
+POLL_SECONDS = 0.02
+# Closing with this option set sends a reset instead of what is left.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Mode(StrEnum):
+    """What becomes of bytes: `up` runs from who connected."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    UP_CUT = "up_cut"
+    DOWN_CUT = "down_cut"
+    REFUSE = "refuse"
+
+
+class Proxy:
+    """Passes connections on to `target`; held bytes go on when the mode ends."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.mode = Mode.PASS
+        self.delay = 0.1
+        self.passed = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def address(self) -> str:
+        return "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0, backlog=512)
+
+    async def close(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError, AttributeError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            if self.mode is Mode.REFUSE:
+                return
+            await self._wait(up=True)
+            host, _, port = self.target.rpartition(":")
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            self._writers.add(far_writer)
+            pumps = [
+                asyncio.create_task(self._pump(reader, far_writer, up=True)),
+                asyncio.create_task(self._pump(far_reader, writer, up=False)),
+            ]
+            try:
+                await asyncio.wait(pumps)
+            finally:
+                for pump in pumps:
+                    pump.cancel()
+                far_writer.transport.abort()
+                self._writers.discard(far_writer)
+        except (OSError, asyncio.CancelledError):
+            return
+        finally:
+            writer.transport.abort()
+            self._writers.discard(writer)
+            self._tasks.discard(task)
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, up: bool
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(self.delay)
+                await self._wait(up=up)
+                writer.write(data)
+                await writer.drain()
+                self.passed += len(data)
+            await self._wait(up=up)
+            # A close of one side passes on as such; the other side may still answer.
+            if writer.can_write_eof():
+                writer.write_eof()
+
+    async def _wait(self, *, up: bool) -> None:
+        cut = {Mode.SILENT, Mode.UP_CUT if up else Mode.DOWN_CUT}
+        while self.mode in cut:
+            await asyncio.sleep(POLL_SECONDS)
