--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: try test lint format matrix bench capacity
+.PHONY: try test lint format matrix bench capacity soak
 
 try: .venv
 	@$(BIN)/python scripts/try_program.py
@@ -29,6 +29,10 @@
 matrix: .venv
 	@$(BIN)/python -m tests.faults.matrix $(if $(SEED),--seed $(SEED),--write docs/FAULTS.md)
 
+# The fault soak over real processes; SEED=n runs one seed, else SEEDS fresh ones.
+soak: .venv
+	@$(BIN)/python -m tests.soak.run $(if $(SEED),--seed $(SEED),--seeds $(or $(SEEDS),5))
+
 # The policy against its baselines, in modelled time; takes some minutes.
 bench: .venv
 	@$(BIN)/python -m egretford.bench.main --write docs/BENCH.md
--- a/egretford/cli/operators.py
+++ b/egretford/cli/operators.py
@@ -10,6 +10,7 @@
 import click
 import typer
 
+from egretford.cli.account import read_account, render_account
 from egretford.cli.exits import ExitStatus
 from egretford.cli.explain import explain_request, read_lines
 from egretford.cli.requests import fetch_json
@@ -17,7 +18,8 @@
 from egretford.codec import to_json
 from egretford.errors import InputError
 from egretford.models import Tables
-from egretford.tables import check_joins, merge_rows, read_tables
+from egretford.platform.report import decode_report
+from egretford.tables import check_joins, merge_rows, read_json, read_tables
 
 PLATFORM = Annotated[
     str, typer.Option(envvar="EGRETFORD_PLATFORM", help="URL of the platform's object API")
@@ -171,3 +173,14 @@
     story = explain_request(request, read_lines(logs))
     typer.echo(story.render())
     return ExitStatus.OK if story.lines else ExitStatus.FAILED
+
+
+@app.command()
+def account(
+    report: Annotated[Path, typer.Argument(help="report of a bench day", exists=True)],
+    logs: Annotated[list[Path] | None, typer.Argument(help="logs of that day's entries")] = None,
+) -> int:
+    """Print where a day's worth went, the largest loss first."""
+    day = decode_report(read_json(report))
+    typer.echo(render_account(day, read_account(read_lines(logs or []))))
+    return ExitStatus.OK
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,73 @@
+"""A short seeded soak, the seeds that ever failed, and that the checks see what is broken."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import pytest
+
+from egretford.http.messages import Headers, HttpRequest
+from tests.platform.standins import Answer, Arrival, make_event
+from tests.soak import checks
+from tests.soak.load import Attempt, Chain, Load, whole_stream
+from tests.soak.run import run_seed
+
+CI_SECONDS = 6.0
+# Seeds that broke a promise once: (seed, seconds, cause).
+REGRESSIONS: list[tuple[int, float, str]] = []
+
+
+def test_no_promise_is_broken_by_a_short_series_of_faults(tmp_path):
+    report = run_seed(7, CI_SECONDS, large=False, keep=tmp_path)
+    assert not report.problems, report.problems[:5]
+    assert report.served > 0.5 * report.attempts
+    assert sum(report.injected.values()) > 3
+
+
+@pytest.mark.parametrize(("seed", "seconds", "cause"), REGRESSIONS)
+def test_a_seed_that_failed_once_passes(seed, seconds, cause, tmp_path):
+    report = run_seed(seed, seconds, large=False, keep=tmp_path)
+    assert not report.problems, (cause, report.problems[:5])
+
+
+def make_attempt(kind="chat", status=200, body=None, **fields) -> Attempt:
+    body = whole_stream() if body is None else body
+    answer = Answer(status, Headers([(b"Request-Id", b"r1")]), body)
+    return Attempt("r1", kind, "p", 0.0, answer=answer, **fields)
+
+
+def make_arrivals(*bodies: bytes):
+    http = HttpRequest(b"POST", b"/", Headers(), b"", True, 0.0)
+    return defaultdict(list, r1=[Arrival("r1", body, Headers(), http) for body in bodies])
+
+
+@pytest.mark.parametrize(
+    ("check", "attempt", "arrivals"),
+    [
+        (checks.check_runs_at_most_once, make_attempt(), make_arrivals(b"", b"")),
+        (checks.check_promised_refusals, make_attempt(status=503), make_arrivals(b"")),
+        (checks.check_promised_refusals, make_attempt("book", 402), make_arrivals(b"")),
+        (checks.check_bodies, make_attempt(expected_body=b"a b"), make_arrivals(b"b")),
+        (checks.check_answers, make_attempt("ping", body=b"done r2"), make_arrivals()),
+        (checks.check_answers, make_attempt(body=make_event(1)), make_arrivals()),
+        (checks.check_answers, make_attempt(body=make_event(2)), make_arrivals()),
+        (checks.check_known_turns, make_attempt(status=404), make_arrivals()),
+    ],
+)
+def test_the_checks_go_red(check, attempt, arrivals):
+    load = Load(None, None, attempts=[attempt])
+    assert list(check(load, arrivals))
+
+
+def test_the_check_of_budgets_goes_red():
+    attempts = [make_attempt() for _ in range(4)]
+    load = Load(None, None, attempts=attempts, chains=[Chain("p", budget=100)])
+    assert list(checks.check_budgets(load, make_arrivals()))
+    load.chains[0].budget = 110
+    assert not list(checks.check_budgets(load, make_arrivals()))
+
+
+def test_the_check_of_lasting_turns_goes_red():
+    assert checks.check_kept_turns(None, {"t1": 503, "t2": 200}) == [
+        "LOST: the turn t1 cannot be continued: 503"
+    ]
