Count every keeper that takes a turn, also beside one that refuses

Cause: after a keeper's disk was lost its machine answers at once that it is not ready, while the view still counts it. Ruled out: the keeper that was left; it had synced the turns. Change: such a round waits for all answers, and keepers that were not ready when asked last are chosen last. Only answers to turns say whether a keeper is ready.

--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -19,8 +19,10 @@
     AdoptView,
     KeeperReply,
     KeeperRequest,
+    Kept,
     NotReady,
     OutdatedView,
+    Reserved,
     UnknownView,
 )
 from egretford.peer.interface import Peers
@@ -69,10 +71,18 @@
         return len(self.replies) >= self.needed
 
     @property
-    def is_hopeless(self) -> bool:
-        """Whether too few can still come."""
-        pending = sum(not task.done() for task in self.tasks.values())
-        return pending + len(self.replies) < self.needed
+    def pending(self) -> list[asyncio.Task[KeeperReply]]:
+        """The requests that were not answered yet."""
+        return [task for task in self.tasks.values() if not task.done()]
+
+    def is_answered(self) -> bool:
+        """Whether every request was answered, or failed."""
+        return not self.pending
+
+    def is_decided(self) -> bool:
+        """Whether enough replies have come, or too few can still come."""
+        hopeless = len(self.pending) + len(self.replies) < self.needed
+        return self.has_enough or hopeless
 
 
 class KeeperGroup:
@@ -164,8 +174,12 @@
         return self._tolerated + 1
 
     def rank_copies(self, program: str) -> list[Member]:
-        """Order the members that are thought to answer by where a program's turns belong."""
-        return rank_copies(self.list_answering(), program, self._domain, self._regions)
+        """Order the members that are thought to answer by where a program's turns belong.
+
+        Those that were not ready when asked last come after all others.
+        """
+        ranked = rank_copies(self.list_answering(), program, self._domain, self._regions)
+        return sorted(ranked, key=lambda member: member.disk in self._copying)
 
     def rank_by_distance(self, members: list[Member]) -> list[Member]:
         """Order members: own failure domain, own region, others."""
@@ -215,7 +229,7 @@
             if sum(self.is_answering(member) for member in group) < quorum:
                 break
             round_ = self._send_round(Round(view, kind, quorum), group, build)
-            await self._wait_round(round_, None)
+            await self._wait_round(round_, round_.is_decided)
             if round_.has_enough:
                 return round_
             if self.view.number == view.number:
@@ -241,7 +255,8 @@
         for _ in range(MAX_VIEW_CHANGES):
             view = self.view
             round_ = self._send_round(Round(view, kind, len(members)), members, build)
-            await self._wait_round(round_, seconds)
+            # Whoever answers counts, also if another one has refused.
+            await self._wait_round(round_, round_.is_answered, seconds)
             answered = frozenset(round_.replies)
             if round_.has_enough or self.view.number == view.number:
                 break
@@ -258,13 +273,16 @@
             round_.tasks[member] = task
         return round_
 
-    async def _wait_round(self, round_: Round, seconds: float | None) -> None:
-        """Wait until a round has enough, is hopeless or outdated, or for `seconds`."""
+    async def _wait_round(
+        self, round_: Round, is_over: Callable[[], bool], seconds: float | None = None
+    ) -> None:
+        """Wait until a round is over, or its view outdated, or for `seconds`."""
         end = None if seconds is None else self._clock.monotonic() + seconds
-        while not (round_.has_enough or round_.is_hopeless):
-            pending = [task for task in round_.tasks.values() if not task.done()]
+        while not is_over():
             left = None if end is None else max(0.0, end - self._clock.monotonic())
-            done, _ = await asyncio.wait(pending, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+            done, _ = await asyncio.wait(
+                round_.pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
             if self.view.number > round_.view.number or not done:
                 return
 
@@ -291,7 +309,8 @@
             self._log.info("a keeper answers again", keeper=member.name)
         if isinstance(reply, OutdatedView):
             self.learn_view(reply.view)
-        self._note_readiness(member, isinstance(reply, NotReady))
+        if isinstance(reply, NotReady | Reserved | Kept):
+            self._note_readiness(member, isinstance(reply, NotReady))
         return reply
 
     def _note_readiness(self, member: Member, copying: bool) -> None:
--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -5,6 +5,7 @@
 import argparse
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,9 @@
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 HOST = "127.0.0.1"
+# Below the ports of outgoing connections, which begin at 32768 on Linux, and above the usual
+# services.
+PORTS = range(15_000, 32_000)
 READY_SECONDS = 30.0
 END_SECONDS = 20.0
 
@@ -44,15 +48,26 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports; all are held open until they are known to differ."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((HOST, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return free ports that the system gives to no outgoing connection.
+
+    Processes bind them later, and again after a restart; a port that was chosen by the system
+    may by then be the near end of some connection.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.SystemRandom().choice(PORTS)
+        if port not in found and _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as item:
+        try:
+            item.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def start_deployment(state: Path, entries: int, deployment: str) -> int:
--- /dev/null
+++ b/tests/entry/test_keepers.py
@@ -0,0 +1,104 @@
+"""Rounds of requests to keepers of which some refuse, are silent, or know a newer view."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from attrs import Factory, define, evolve
+
+from egretford.clock import SystemClock
+from egretford.entry.keepers import KeeperGroup, KeepersUnavailableError
+from egretford.errors import PeerUnreachableError
+from egretford.keeper.messages import Keep, Kept, NotReady, OutdatedView
+from egretford.policy.views import Member, MemberState, View
+from tests.platform.standins import NullLog
+
+MEMBERS = tuple(Member(n, f"d-{n}", n, "z", MemberState.ACTIVE) for n in "abc")
+VIEW = View(3, MEMBERS, generation=3)
+KEEP = Keep(None, None)
+
+
+@define
+class FakePeers:
+    """Answers by keeper: a reply, and after how many seconds."""
+
+    answers: dict[str, tuple[object, float]]
+    asked: list[str] = Factory(list)
+
+    async def ask(self, address, message, seconds):
+        self.asked.append(address)
+        reply, delay = self.answers[address]
+        await asyncio.sleep(min(delay, seconds))
+        if delay > seconds:
+            raise PeerUnreachableError(address)
+        return reply(message) if callable(reply) else reply
+
+    def keep_only(self, addresses):
+        return
+
+
+@pytest.fixture
+async def make_group():
+    groups = []
+
+    def make(**answers):
+        async def read_view():
+            return VIEW, 1
+
+        peers = FakePeers(answers)
+        group = KeeperGroup(peers, read_view, 1, "z", {"z": "r"}, SystemClock(), NullLog())
+        group.learn_view(VIEW)
+        groups.append(group)
+        return group, peers
+
+    yield make
+    for group in groups:
+        await group.close()
+
+
+def send_keep(member):
+    return KEEP
+
+
+async def test_one_that_is_not_ready_does_not_hide_one_that_answers_later(make_group):
+    """As after a disk was lost: its machine answers at once that it is still copying."""
+    group, _ = make_group(a=(NotReady("copying"), 0.0), b=(Kept(), 0.05), c=(Kept(), 0.0))
+    answered = await group.ask_members(list(MEMBERS[:2]), send_keep, Kept, 0.25)
+    assert answered == {MEMBERS[1]}
+
+
+async def test_a_silent_one_is_not_waited_for_beyond_the_time(make_group):
+    group, _ = make_group(a=(Kept(), 5.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    answered = await group.ask_members(list(MEMBERS[:2]), send_keep, Kept, 0.1)
+    assert answered == {MEMBERS[1]} and loop.time() - started < 0.3
+
+
+async def test_one_that_is_not_ready_is_chosen_last_for_turns(make_group):
+    group, _ = make_group(a=(NotReady("copying"), 0.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
+    await group.ask_members(list(MEMBERS), send_keep, Kept, 0.25)
+    assert all(group.rank_copies(f"p{n}")[-1] is MEMBERS[0] for n in range(8))
+
+
+async def test_a_quorum_is_enough_and_too_few_are_told_at_once(make_group):
+    group, _ = make_group(a=(NotReady("copying"), 0.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
+    assert (await group.ask_group("p", send_keep, Kept)).has_enough
+    group, _ = make_group(a=(NotReady(""), 0.0), b=(NotReady(""), 0.0), c=(Kept(), 0.6))
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    with pytest.raises(KeepersUnavailableError):
+        await group.ask_group("p", send_keep, Kept)
+    assert loop.time() - started < 0.3
+
+
+async def test_a_newer_view_is_learnt_and_all_are_asked_again_under_it(make_group):
+    newer = evolve(VIEW, number=4)
+
+    def answer(message):
+        return Kept() if message.view == 4 else OutdatedView(newer)
+
+    group, peers = make_group(a=(answer, 0.0), b=(answer, 0.0), c=(answer, 0.0))
+    assert (await group.ask_group("p", send_keep, Kept)).has_enough
+    assert group.view.number == 4 and len(peers.asked) >= 4
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import socket
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -13,6 +12,7 @@
 from egretford.instance import DeploymentBounds, InstanceSettings
 from egretford.keeper.daemon import KeeperDaemon
 from egretford.metrics import Metrics
+from scripts.local_deployment import find_ports
 from tests.platform.standins import Caller, StoreStandin, WorkerStandin
 
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south"}
@@ -20,9 +20,8 @@
 
 
 def find_free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    (port,) = find_ports(1)
+    return port
 
 
 def make_settings(name: str, zone: str, store: str, **changes) -> InstanceSettings:
--- a/tests/processes/test_local_deployment.py
+++ b/tests/processes/test_local_deployment.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
 
 import pytest
 
@@ -51,3 +52,9 @@
     with pytest.raises(SystemExit):
         local.wait_ready({"pid": process.pid, "url": f"http://{local.HOST}:{port}"}, "/readyz")
     assert time.monotonic() - started < 5.0
+
+
+def test_ports_are_none_that_an_outgoing_connection_may_take():
+    first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    ports = local.find_ports(20)
+    assert len(set(ports)) == 20 and max(ports) < first
