--- a/egretford/policy/views.py
+++ b/egretford/policy/views.py
@@ -1,9 +1,9 @@
-"""Views: which keepers hold records, and how many of them must agree.
+"""Views: which keepers hold records, and which of them count.
 
-A record counts as kept once `count_quorum` active members have synced it. Any two quorums of
-one view, and of two views that differ by one active member, share a member. Keepers refuse
-requests that come under an older view than their own, so no two views are in use at one
-keeper.
+Views change one active member at a time, except that a new one takes the place of those that are
+gone. Keepers refuse requests that come under an older view than their own, so no two views are in
+use at one keeper. What that means for charges is in `policy/groups.py`, for turns in
+`policy/copies.py`.
 """
 
 from __future__ import annotations
@@ -62,11 +62,6 @@
         return next((member for member in self.members if member.disk == disk), None)
 
 
-def count_quorum(view: View, tolerated_losses: int) -> int:
-    """Return how many active members must have synced a record."""
-    return max(tolerated_losses + 1, len(view.active) // 2 + 1)
-
-
 def _advance(view: View, members: Iterable[Member], dropped: Iterable[str]) -> View:
     """Return the view after `view`; its generation is new if other members are active."""
     after = View(view.number + 1, tuple(members), tuple(dropped), view.generation)
--- a/tests/policy/test_views.py
+++ b/tests/policy/test_views.py
@@ -7,13 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from egretford.policy.groups import count_group_quorum
 from egretford.policy.views import (
     Member,
     MemberState,
     View,
     activate_member,
     add_member,
-    count_quorum,
     drop_member,
     forget_dropped,
     mark_leaving,
@@ -36,8 +36,10 @@
 
 
 def list_quorums(view, tolerated):
+    """All majorities of the active members, as where a group holds all of them."""
     disks = [member.disk for member in view.active]
-    return [set(chosen) for chosen in combinations(disks, count_quorum(view, tolerated))]
+    size = count_group_quorum(len(disks), tolerated)
+    return [set(chosen) for chosen in combinations(disks, size)]
 
 
 def test_the_first_member_counts_and_the_next_ones_copy_first():
@@ -89,7 +91,18 @@
     assert forget_dropped(view, "disk-d").dropped == ()
 
 
-def test_a_record_is_never_kept_by_fewer_than_the_losses_and_one():
-    assert count_quorum(make_view(["a"]), 1) == 2
-    assert count_quorum(make_view(["a", "b", "c"]), 1) == 2
-    assert count_quorum(make_view([f"k{n}" for n in range(10)]), 2) == 6
+def test_a_charge_is_never_kept_by_fewer_than_the_losses_and_one():
+    assert count_group_quorum(1, 1) == 2
+    assert count_group_quorum(3, 1) == 2
+    assert count_group_quorum(10, 2) == 6
+
+
+def test_only_a_change_of_the_active_members_begins_a_generation():
+    view = make_view(["a", "b", "c"])
+    joining = add_member(view, make_member("d"))
+    assert joining.generation == view.generation
+    active = activate_member(joining, "disk-d", frozenset())
+    leaving = mark_leaving(active, "disk-a")
+    assert [active.generation, leaving.generation] == [view.generation + 1, view.generation + 2]
+    assert remove_member(leaving, "disk-a").generation == leaving.generation
+    assert drop_member(leaving, "disk-b").generation == leaving.generation + 1
