Log why keepers did not keep a turn, and tell broken off answers from refusals

Change: 'turns: some keepers did not keep a turn' with each one's answer and the view; 'gateway: broke off an answer' and a counter of its own; 'egretford account' counts these apart. The tests of rounds also check the reasons.

--- a/egretford/cli/account.py
+++ b/egretford/cli/account.py
@@ -35,6 +35,7 @@
 
     times: list[TurnTimes] = Factory(list)
     refusals: Counter[str] = Factory(Counter)
+    broken_off: Counter[str] = Factory(Counter)
     lost_attempts: Counter[str] = Factory(Counter)
 
 
@@ -50,14 +51,18 @@
             case "forwarding: an attempt was lost":
                 account.lost_attempts[_shorten(line.fields.get("reason", ""))] += 1
             case "gateway: refused":
-                fields = line.fields
-                cause = f"{fields.get('kind')}: {_shorten(fields.get('reason', ''))}"
-                account.refusals[cause] += 1
+                account.refusals[_read_cause(line)] += 1
+            case "gateway: broke off an answer":
+                account.broken_off[_read_cause(line)] += 1
             case "gateway: answered" if request in chosen:
                 account.times.append(_measure(line, chosen.pop(request)))
     return account
 
 
+def _read_cause(line: LogLine) -> str:
+    return f"{line.fields.get('kind')}: {_shorten(line.fields.get('reason', ''))}"
+
+
 def _measure(line: LogLine, chosen_at: float) -> TurnTimes:
     whole = float(line.fields["ms"]) / 1_000
     work = _read_seconds(line) - chosen_at
@@ -116,6 +121,7 @@
             lines.append(f"  offered more than once     {sum(t.offers > 1 for t in times)}")
     for title, counter in (
         ("Refused by:", account.refusals),
+        ("Answers broken off by:", account.broken_off),
         ("Attempts lost by:", account.lost_attempts),
     ):
         if counter:
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -210,16 +210,17 @@
         if status == _RETRYABLE_STATUS:
             now = self._clock.monotonic()
             retry_after = error.retry_after_seconds or self._comeback.advise(error.kind, now)
-        self._metrics.count(f"refused.{error.kind}")
+        # An answer that has begun cannot be refused any more: its connection is closed.
+        outcome = "broken_off" if responder.started else "refused"
+        self._metrics.count(f"{outcome}.{error.kind}")
         self._log.info(
-            "refused",
+            "broke off an answer" if responder.started else "refused",
             request=request.id if request else "",
             path=http.path.decode("latin-1"),
             status=status,
             kind=error.kind.value,
             verdict=error.verdict.value,
             reason=error.message,
-            started=responder.started,
             retry_after_s=None if retry_after is None else round(retry_after, 3),
             ms=round((self._clock.monotonic() - http.received_at) * 1_000, 1),
         )
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -65,6 +65,14 @@
         }
         return {m: reply for m, reply in answered.items() if isinstance(reply, self.kind)}
 
+    def describe_lacking(self) -> dict[str, str]:
+        """Return why each member without a reply of the wanted type has none, by name."""
+        return {
+            member.name: describe_outcome(task)
+            for member, task in self.tasks.items()
+            if member not in self.replies
+        }
+
     @property
     def has_enough(self) -> bool:
         """Whether as many replies have come as are needed."""
@@ -85,6 +93,16 @@
         return self.has_enough or hopeless
 
 
+def describe_outcome(task: asyncio.Future[KeeperReply]) -> str:
+    """Return what came of a request to a keeper, for the log."""
+    if not task.done():
+        return "no answer yet"
+    if task.cancelled():
+        return "cancelled"
+    error = task.exception()
+    return type(task.result()).__name__ if error is None else repr(error)
+
+
 class KeeperGroup:
     """The keepers as an entry sees them."""
 
@@ -246,21 +264,19 @@
         build: Callable[[Member], KeeperRequest],
         kind: type,
         seconds: float,
-    ) -> frozenset[Member]:
-        """Send a request to some members; returns those that answered with `kind` in time.
+    ) -> Round:
+        """Send a request to some members; returns the round once all answered, or in time.
 
         All are asked once more under a newer view that was learnt on the way.
         """
-        answered: frozenset[Member] = frozenset()
         for _ in range(MAX_VIEW_CHANGES):
             view = self.view
             round_ = self._send_round(Round(view, kind, len(members)), members, build)
             # Whoever answers counts, also if another one has refused.
             await self._wait_round(round_, round_.is_answered, seconds)
-            answered = frozenset(round_.replies)
             if round_.has_enough or self.view.number == view.number:
                 break
-        return answered
+        return round_
 
     def _send_round(
         self, round_: Round, members: list[Member], build: Callable[[Member], KeeperRequest]
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -244,9 +244,18 @@
             asked.update(chosen)
             names = tuple(sorted(member.name for member in {*held, *chosen}))
             message = Keep(None, evolve(turn, copies=names))
-            held |= await self._keepers.ask_members(
+            round_ = await self._keepers.ask_members(
                 chosen, lambda member, message=message: message, Kept, COPY_SECONDS
             )
+            held |= frozenset(round_.replies)
+            if lacking := round_.describe_lacking():
+                self._log.info(
+                    "some keepers did not keep a turn",
+                    request=turn.id,
+                    kept_by=sorted(member.name for member in held),
+                    lacking=lacking,
+                    view=round_.view.number,
+                )
 
     def settle_later(self, charge: Charge) -> None:
         """Settle a charge in the background; until then it counts at its most."""
--- a/tests/cli/test_account.py
+++ b/tests/cli/test_account.py
@@ -27,6 +27,8 @@
 reason="status 503 at 10.0.0.1:80"
 timestamp=2026-01-01T00:00:02Z event="gateway: refused" instance=e request=r3 kind=overloaded \
 reason="status 503 at 10.0.0.2:80"
+timestamp=2026-01-01T00:00:02Z event="gateway: broke off an answer" instance=e request=r5 \
+kind=store_unavailable reason="the turn is kept by 1 keepers only, of 3 asked"
 timestamp=2026-01-01T00:00:02Z event="forwarding: an attempt was lost" instance=e request=r4 \
 reason="10.0.0.1:80: the connection was closed"
 """
@@ -59,6 +61,7 @@
     assert "until a worker was chosen      50      50      50" in shown.out
     assert "from then to the end          300     300     300" in shown.out
     assert "2  overloaded: status N at N" in shown.out
+    assert "Answers broken off by:\n       1  store_unavailable: the turn is kept by N" in shown.out
     assert "1  N: the connection was closed" in shown.out
 
 
--- /dev/null
+++ b/tests/entry/fakes.py
@@ -0,0 +1,32 @@
+"""Keepers that answer as they are told."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import Factory, define
+
+from egretford.errors import PeerUnreachableError
+from egretford.policy.views import Member, MemberState, View
+
+MEMBERS = tuple(Member(n, f"d-{n}", n, "z", MemberState.ACTIVE) for n in "abc")
+VIEW = View(3, MEMBERS, generation=3)
+
+
+@define
+class FakePeers:
+    """Answers by keeper: a reply, and after how many seconds."""
+
+    answers: dict[str, tuple[object, float]]
+    asked: list[str] = Factory(list)
+
+    async def ask(self, address, message, seconds):
+        self.asked.append(address)
+        reply, delay = self.answers[address]
+        await asyncio.sleep(min(delay, seconds))
+        if delay > seconds:
+            raise PeerUnreachableError(address)
+        return reply(message) if callable(reply) else reply
+
+    def keep_only(self, addresses):
+        return
--- a/tests/entry/test_keepers.py
+++ b/tests/entry/test_keepers.py
@@ -5,58 +5,16 @@
 import asyncio
 
 import pytest
-from attrs import Factory, define, evolve
+from attrs import evolve
 
-from egretford.clock import SystemClock
-from egretford.entry.keepers import KeeperGroup, KeepersUnavailableError
-from egretford.errors import PeerUnreachableError
+from egretford.entry.keepers import KeepersUnavailableError
 from egretford.keeper.messages import Keep, Kept, NotReady, OutdatedView
-from egretford.policy.views import Member, MemberState, View
-from tests.platform.standins import NullLog
+from egretford.policy.views import View
+from tests.entry.fakes import MEMBERS, VIEW
 
-MEMBERS = tuple(Member(n, f"d-{n}", n, "z", MemberState.ACTIVE) for n in "abc")
-VIEW = View(3, MEMBERS, generation=3)
 KEEP = Keep(None, None)
 
 
-@define
-class FakePeers:
-    """Answers by keeper: a reply, and after how many seconds."""
-
-    answers: dict[str, tuple[object, float]]
-    asked: list[str] = Factory(list)
-
-    async def ask(self, address, message, seconds):
-        self.asked.append(address)
-        reply, delay = self.answers[address]
-        await asyncio.sleep(min(delay, seconds))
-        if delay > seconds:
-            raise PeerUnreachableError(address)
-        return reply(message) if callable(reply) else reply
-
-    def keep_only(self, addresses):
-        return
-
-
-@pytest.fixture
-async def make_group():
-    groups = []
-
-    def make(**answers):
-        async def read_view():
-            return VIEW, 1
-
-        peers = FakePeers(answers)
-        group = KeeperGroup(peers, read_view, 1, "z", {"z": "r"}, SystemClock(), NullLog())
-        group.learn_view(VIEW)
-        groups.append(group)
-        return group, peers
-
-    yield make
-    for group in groups:
-        await group.close()
-
-
 def send_keep(member):
     return KEEP
 
@@ -64,16 +22,18 @@
 async def test_one_that_is_not_ready_does_not_hide_one_that_answers_later(make_group):
     """As after a disk was lost: its machine answers at once that it is still copying."""
     group, _ = make_group(a=(NotReady("copying"), 0.0), b=(Kept(), 0.05), c=(Kept(), 0.0))
-    answered = await group.ask_members(list(MEMBERS[:2]), send_keep, Kept, 0.25)
-    assert answered == {MEMBERS[1]}
+    round_ = await group.ask_members(list(MEMBERS[:2]), send_keep, Kept, 0.25)
+    assert set(round_.replies) == {MEMBERS[1]}
+    assert round_.describe_lacking() == {"a": "NotReady"}
 
 
 async def test_a_silent_one_is_not_waited_for_beyond_the_time(make_group):
     group, _ = make_group(a=(Kept(), 5.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
     loop = asyncio.get_running_loop()
     started = loop.time()
-    answered = await group.ask_members(list(MEMBERS[:2]), send_keep, Kept, 0.1)
-    assert answered == {MEMBERS[1]} and loop.time() - started < 0.3
+    round_ = await group.ask_members(list(MEMBERS[:2]), send_keep, Kept, 0.1)
+    assert set(round_.replies) == {MEMBERS[1]} and loop.time() - started < 0.3
+    assert round_.describe_lacking() == {"a": "no answer yet"}
 
 
 async def test_one_that_is_not_ready_is_chosen_last_for_turns(make_group):
