Keep a turn as long as its caller waits, instead of asking each keeper once

Cause: the end of such an answer waits until f+1 keepers have synced the turn. The entry asked each keeper once, for 0.25 s; when that pass found too few, it closed the answer at once, though its caller would have waited for seconds and the keepers that were lacking were only still copying, or slow. Change: entry/copies.py asks further keepers while some are slow, asks those again that refused, counts late answers, and goes on until enough hold the turn. The caller's time bounds it. A copy at a keeper that was dropped meanwhile does not count. Each keeper's reason is logged once a turn. KeeperGroup.ask_members is gone; its three tests ask the same of the new code, with each keeper in each place; that reasons are told is checked in the log's place by 'a keeper did not keep a turn'.

--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -65,14 +65,6 @@
         }
         return {m: reply for m, reply in answered.items() if isinstance(reply, self.kind)}
 
-    def describe_lacking(self) -> dict[str, str]:
-        """Return why each member without a reply of the wanted type has none, by name."""
-        return {
-            member.name: describe_outcome(task)
-            for member, task in self.tasks.items()
-            if member not in self.replies
-        }
-
     @property
     def has_enough(self) -> bool:
         """Whether as many replies have come as are needed."""
@@ -83,10 +75,6 @@
         """The requests that were not answered yet."""
         return [task for task in self.tasks.values() if not task.done()]
 
-    def is_answered(self) -> bool:
-        """Whether every request was answered, or failed."""
-        return not self.pending
-
     def is_decided(self) -> bool:
         """Whether enough replies have come, or too few can still come."""
         hopeless = len(self.pending) + len(self.replies) < self.needed
@@ -247,7 +235,7 @@
             if sum(self.is_answering(member) for member in group) < quorum:
                 break
             round_ = self._send_round(Round(view, kind, quorum), group, build)
-            await self._wait_round(round_, round_.is_decided)
+            await self._wait_round(round_)
             if round_.has_enough:
                 return round_
             if self.view.number == view.number:
@@ -255,53 +243,35 @@
                 await self._read_newer_view()
             if self.view.number == view.number:
                 break
-        self._needs_view = True
+        self.note_shortage()
         raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}")
 
-    async def ask_members(
-        self,
-        members: list[Member],
-        build: Callable[[Member], KeeperRequest],
-        kind: type,
-        seconds: float,
-    ) -> Round:
-        """Send a request to some members; returns the round once all answered, or in time.
-
-        All are asked once more under a newer view that was learnt on the way.
-        """
-        for _ in range(MAX_VIEW_CHANGES):
-            view = self.view
-            round_ = self._send_round(Round(view, kind, len(members)), members, build)
-            # Whoever answers counts, also if another one has refused.
-            await self._wait_round(round_, round_.is_answered, seconds)
-            if round_.has_enough or self.view.number == view.number:
-                break
-        return round_
-
     def _send_round(
         self, round_: Round, members: list[Member], build: Callable[[Member], KeeperRequest]
     ) -> Round:
         for member in members:
-            message = evolve(build(member), view=round_.view.number)
-            task = self._tasks.spawn(self._ask(member, message))
-            # Failures are logged where they are met, also those that come after a quorum.
-            task.add_done_callback(lambda done: done.cancelled() or done.exception())
-            round_.tasks[member] = task
+            round_.tasks[member] = self.start_asking(member, build(member))
         return round_
 
-    async def _wait_round(
-        self, round_: Round, is_over: Callable[[], bool], seconds: float | None = None
-    ) -> None:
-        """Wait until a round is over, or its view outdated, or for `seconds`."""
-        end = None if seconds is None else self._clock.monotonic() + seconds
-        while not is_over():
-            left = None if end is None else max(0.0, end - self._clock.monotonic())
-            done, _ = await asyncio.wait(
-                round_.pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
-            )
-            if self.view.number > round_.view.number or not done:
+    async def _wait_round(self, round_: Round) -> None:
+        """Wait until a round is decided, or its view outdated."""
+        while not round_.is_decided():
+            await asyncio.wait(round_.pending, return_when=asyncio.FIRST_COMPLETED)
+            if self.view.number > round_.view.number:
                 return
 
+    def start_asking(self, member: Member, message: KeeperRequest) -> asyncio.Task[KeeperReply]:
+        """Ask one member in the background; what becomes of it is noted also if nobody waits."""
+        message = evolve(message, view=self.view.number)
+        task = self._tasks.spawn(self._ask(member, message))
+        # Failures are logged where they are met, also those that come after a quorum.
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return task
+
+    def note_shortage(self) -> None:
+        """Note that too few members answer; the store may know of others."""
+        self._needs_view = True
+
     async def ask_one(self, member: Member, message: KeeperRequest) -> KeeperReply:
         """Ask one member; raises EgretfordError."""
         return await self._ask(member, evolve(message, view=self.view.number))
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -8,9 +8,10 @@
 from attrs import define, evolve
 
 from egretford.clock import Clock
+from egretford.entry.copies import TurnCopies
 from egretford.entry.keepers import KeeperGroup, KeepersUnavailableError
 from egretford.entry.models import CallerRequest, Route
-from egretford.errors import EgretfordError, ErrorKind, RequestError, Verdict
+from egretford.errors import EgretfordError, ErrorKind, RequestError
 from egretford.keeper.messages import (
     Keep,
     KeeperReply,
@@ -29,9 +30,6 @@
 BUDGET_WAIT_SECONDS = 0.1
 # How long a keeper may take to send a history before the next one is asked as well.
 NEAREST_SECONDS = 0.05
-# A keeper that has not kept a turn after this long is replaced by the next one; a slow disk
-# takes some tens of milliseconds, another region as many.
-COPY_SECONDS = 0.25
 # How often a charge is settled again while too few keepers answer, with a pause between.
 SETTLE_TRIES = 12
 SETTLE_PAUSE_SECONDS = 0.5
@@ -50,7 +48,7 @@
     settled: bool = False
 
     async def keep(self, answer_text: bytes, events: int) -> None:
-        """Keep the turn; raises RequestError if too few keepers did.
+        """Keep the turn; goes on until enough keepers have it, so the caller bounds the time.
 
         Its charge is settled in the background, since until then it only counts for more.
         """
@@ -226,36 +224,8 @@
         return RequestError(ErrorKind.STORE_UNAVAILABLE, "the turn cannot be read now")
 
     async def keep(self, turn: Turn) -> None:
-        """Write a turn to a few near keepers; raises RequestError if too few took it.
-
-        Further ones take the place of those that do not answer soon.
-        """
-        held: frozenset[Member] = frozenset()
-        asked: set[Member] = set()
-        while lacking := self._keepers.copies - len(held):
-            ranked = self._keepers.rank_copies(turn.program)
-            chosen = [member for member in ranked if member not in asked][:lacking]
-            if len(chosen) < lacking:
-                raise RequestError(
-                    ErrorKind.STORE_UNAVAILABLE,
-                    f"the turn is kept by {len(held)} keepers only, of {len(asked)} asked",
-                    verdict=Verdict.MAY_HAVE_RUN,
-                )
-            asked.update(chosen)
-            names = tuple(sorted(member.name for member in {*held, *chosen}))
-            message = Keep(None, evolve(turn, copies=names))
-            round_ = await self._keepers.ask_members(
-                chosen, lambda member, message=message: message, Kept, COPY_SECONDS
-            )
-            held |= frozenset(round_.replies)
-            if lacking := round_.describe_lacking():
-                self._log.info(
-                    "some keepers did not keep a turn",
-                    request=turn.id,
-                    kept_by=sorted(member.name for member in held),
-                    lacking=lacking,
-                    view=round_.view.number,
-                )
+        """Write a turn to a few near keepers; goes on until enough have it."""
+        await TurnCopies(turn, self._keepers, self._clock, self._log).write()
 
     def settle_later(self, charge: Charge) -> None:
         """Settle a charge in the background; until then it counts at its most."""
--- a/tests/entry/test_copies.py
+++ b/tests/entry/test_copies.py
@@ -5,10 +5,13 @@
 import asyncio
 
 import pytest
+from attrs import evolve
 
 from egretford.clock import SystemClock
+from egretford.entry.copies import TurnCopies
 from egretford.entry.turns import Turns
 from egretford.keeper.messages import Kept, NotReady, Turn
+from tests.entry.fakes import MEMBERS, VIEW
 from tests.platform.standins import NullLog
 
 TURN = Turn("t2", "t1", "p", b"in", b"out", 60.0, ())
@@ -22,6 +25,10 @@
     return lambda message: after if loop.time() - started >= seconds else before
 
 
+def make_copies(group, program="p"):
+    return TurnCopies(evolve(TURN, program=program), group, SystemClock(), NullLog())
+
+
 async def keep(group):
     """Keep a turn, and return how long that took in seconds."""
     loop = asyncio.get_running_loop()
@@ -50,6 +57,47 @@
     assert peers.asked.count("b") == 1
 
 
+# Guards against answers closed in their middle after a disk was lost: its machine answers at
+# once that it is still copying, which must not hide the keeper that answers later (LOST).
+async def test_one_that_is_not_ready_does_not_hide_one_that_answers_later(make_group):
+    for first in "abc":
+        second, third = (name for name in "abc" if name != first)
+        answers = {first: (NOT_READY, 0.0), second: (Kept(), 0.05), third: (Kept(), 0.0)}
+        group, _ = make_group(**answers)
+        copies = make_copies(group)
+        await copies.write()
+        assert copies.holders == sorted([second, third])
+
+
+# Guards against answers held up by a keeper that is silent (late programs).
+async def test_a_silent_one_is_not_waited_for_beyond_the_time(make_group):
+    for silent in "abc":
+        answers = {name: (Kept(), 5.0 if name == silent else 0.0) for name in "abc"}
+        group, _ = make_group(**answers)
+        assert await keep(group) < 0.45
+
+
+# Guards against every turn waiting for the same keeper that cannot take it (late programs).
+async def test_one_that_is_not_ready_is_chosen_last_for_turns(make_group):
+    group, peers = make_group(a=(NOT_READY, 0.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
+    while "a" not in peers.asked:
+        await make_copies(group, f"q{len(peers.asked)}").write()
+    assert all(group.rank_copies(f"p{n}")[-1] is MEMBERS[0] for n in range(8))
+
+
+# Guards against a turn with too few copies after its keeper was dropped from the view (LOST).
+async def test_a_copy_at_a_keeper_that_was_dropped_does_not_count(make_group):
+    group, peers = make_group(a=(Kept(), 0.0), b=(NOT_READY, 0.0), c=(NOT_READY, 0.0))
+    copies = make_copies(group)
+    writing = asyncio.ensure_future(copies.write())
+    while copies.holders != ["a"]:
+        await asyncio.sleep(0.02)
+    group.learn_view(evolve(VIEW, number=4, members=MEMBERS[1:], dropped=("d-a",)))
+    peers.answers["b"] = peers.answers["c"] = (Kept(), 0.0)
+    await asyncio.wait_for(writing, 1.0)
+    assert copies.holders == ["b", "c"]
+
+
 # Guards against answers that end well while too few keepers have their turn (LOST).
 async def test_a_turn_that_too_few_keepers_take_is_never_called_kept(make_group):
     group, _ = make_group(a=(Kept(), 0.0), b=(NOT_READY, 0.0), c=(NOT_READY, 0.0))
