A keeper that counts takes turns while it still copies

Cause: a keeper that has just taken the place of one that is gone refused turns until it had copied everything once more, so that of three keepers exactly the two that must hold a turn were left, and any hitch at one of them cost turns. Only reservations and reads need that it holds all; a synced copy of a new turn is a copy whatever else is lacking. Ruled out: members that join or leave, and machines with a new disk under an old entry; they go on refusing. Change: an active member takes turns at once. Entries judge by answers to turns alone who takes turns; one that lacks charges is no longer chosen last.

--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -17,12 +17,12 @@
 )
 from egretford.keeper.messages import (
     AdoptView,
+    Keep,
     KeeperReply,
     KeeperRequest,
     Kept,
     NotReady,
     OutdatedView,
-    Reserved,
     UnknownView,
 )
 from egretford.peer.interface import Peers
@@ -182,7 +182,7 @@
     def rank_copies(self, program: str) -> list[Member]:
         """Order the members that are thought to answer by where a program's turns belong.
 
-        Those that were not ready when asked last come after all others.
+        Those that took no turn when asked last come after all others.
         """
         ranked = rank_copies(self.list_answering(), program, self._domain, self._regions)
         return sorted(ranked, key=lambda member: member.disk in self._copying)
@@ -295,7 +295,8 @@
             self._log.info("a keeper answers again", keeper=member.name)
         if isinstance(reply, OutdatedView):
             self.learn_view(reply.view)
-        if isinstance(reply, NotReady | Reserved | Kept):
+        is_about_turn = isinstance(message, Keep) and message.turn is not None
+        if is_about_turn and isinstance(reply, NotReady | Kept):
             self._note_readiness(member, isinstance(reply, NotReady))
         return reply
 
@@ -304,10 +305,10 @@
             return
         if copying:
             self._copying.add(member.disk)
-            self._log.info("a keeper is not ready yet", keeper=member.name)
+            self._log.info("a keeper takes no turns yet", keeper=member.name)
         else:
             self._copying.discard(member.disk)
-            self._log.info("a keeper is ready", keeper=member.name)
+            self._log.info("a keeper takes turns", keeper=member.name)
 
     def run_in_background(self, work: Any) -> None:
         """Run a coroutine that outlives the request it belongs to."""
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -36,7 +36,7 @@
 from egretford.policy.copies import must_hold
 from egretford.policy.crashes import CrashTable
 from egretford.policy.groups import Completion, GroupCache, GroupMemory, list_counted
-from egretford.policy.views import View
+from egretford.policy.views import MemberState, View
 
 VIEW_FILE = "view"
 # Keepers do not know organisations; their histograms differ by the kind of request.
@@ -165,6 +165,9 @@
                 now = self._clock.monotonic()
                 self._crashes.learn(message.seen, now)
                 return CrashList(self._crashes.list_recent(now))
+            case Keep(charge=None) if self._counts:
+                # A synced copy is one, whatever else this keeper still lacks.
+                return await self._keep(message)
             case _ if not self.ready:
                 return NotReady("copying records from other keepers")
             case Reserve():
@@ -172,6 +175,11 @@
             case Keep():
                 return await self._keep(message)
 
+    @property
+    def _counts(self) -> bool:
+        mine = self.view.find(self._disk)
+        return mine is not None and mine.state is MemberState.ACTIVE
+
     async def _reserve(self, message: Reserve) -> KeeperReply:
         charge = message.charge
         if charge is not None:
--- a/tests/entry/test_keepers.py
+++ b/tests/entry/test_keepers.py
@@ -47,3 +47,11 @@
     group, peers = make_group(a=(answer, 0.0), b=(answer, 0.0), c=(answer, 0.0))
     assert (await group.ask_group("p", send_keep, Kept)).has_enough
     assert group.view.number == 4 and len(peers.asked) >= 4
+
+
+# Guards against turns kept away from a keeper that only lacks charges so far (late programs).
+async def test_one_that_is_not_ready_for_charges_still_takes_turns_first(make_group):
+    group, _ = make_group(a=(NotReady("copying"), 0.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
+    before = [group.rank_copies(f"p{n}") for n in range(8)]
+    assert (await group.ask_group("p", send_keep, Kept)).has_enough
+    assert [group.rank_copies(f"p{n}") for n in range(8)] == before
