Do not count a turn that waits for its keepers as running at its worker

Cause: the end of a turn's answer is held until its keepers have it, and that time counted as load and as service time of the worker, whose connection was held meanwhile. Change: the worker's attempt ends with its last event.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -215,13 +215,17 @@
         try:
             async with self._send(job, tracked) as connection:
                 reply = await self._read_reply(job, tracked, connection)
-                if job.route.kind is RouteKind.STREAMING and reply.succeeded:
-                    await self._pass_stream(job, tracked, connection, reply)
+                is_stream = job.route.kind is RouteKind.STREAMING and reply.succeeded
+                if is_stream:
+                    await self._pass_events(job, connection, reply)
                 else:
                     await self._pass_whole(job, connection, reply)
         finally:
             tracked.state.granted -= 1
         tracked.note_success(self._clock.monotonic() - started)
+        if is_stream:
+            # The worker is free by now; what holds up the end is not its load.
+            await self._finish_stream(job, reply)
 
     @asynccontextmanager
     async def _send(
@@ -317,12 +321,8 @@
             raise UpstreamLostError(f"status {reply.status}", crashed=False)
         job.responder.send_whole(reply.status, Headers(list(reply.fields)), b"".join(parts))
 
-    async def _pass_stream(
-        self,
-        job: Forwarding,
-        tracked: TrackedWorker,
-        connection: ClientConnection,
-        reply: WorkerReply,
+    async def _pass_events(
+        self, job: Forwarding, connection: ClientConnection, reply: WorkerReply
     ) -> None:
         splitter = EventSplitter()
         while not isinstance(part := await self._read_part(job, connection), BodyEnd):
@@ -334,6 +334,8 @@
                 await self._pass_event(job, reply, event)
         if splitter.has_rest:
             raise UpstreamLostError("the stream ended inside an event", crashed=True)
+
+    async def _finish_stream(self, job: Forwarding, reply: WorkerReply) -> None:
         if job.before_end is not None:
             await job.before_end()
         self._begin_stream(job, reply)
