Keepers take turns by whether they count, and are read for turns that they hold

Callers would have seen (LOST): a turn refused to the end of a fault although a keeper has it. Since a keeper that copies takes turns, a turn may be held by it and one other; if that one is lost, nobody could be read until the copying ended. Also: a keeper that is leaving and was ready took turns after it had noted what others must copy before it goes. Change: a chain that is held whole is answered while copying, as turns never change; turns are taken by members that count, ready or not, and by no others. Tests: two in tests/keeper/test_service.py, red before.

--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -165,9 +165,11 @@
                 now = self._clock.monotonic()
                 self._crashes.learn(message.seen, now)
                 return CrashList(self._crashes.list_recent(now))
-            case Keep(charge=None) if self._counts:
+            case Keep(charge=None):
                 # A synced copy is one, whatever else this keeper still lacks.
-                return await self._keep(message)
+                return await self._keep(message) if self._counts else NotReady("does not count")
+            case Reserve(charge=None) if self._has_chain(message.previous):
+                return await self._reserve(message)
             case _ if not self.ready:
                 return NotReady("copying records from other keepers")
             case Reserve():
@@ -180,6 +182,11 @@
         mine = self.view.find(self._disk)
         return mine is not None and mine.state is MemberState.ACTIVE
 
+    def _has_chain(self, turn_id: str) -> bool:
+        """Whether a turn is held with all that it continues; turns never change."""
+        _, missing = self._records.read_chain(turn_id)
+        return missing is None
+
     async def _reserve(self, message: Reserve) -> KeeperReply:
         charge = message.charge
         if charge is not None:
--- a/tests/keeper/test_service.py
+++ b/tests/keeper/test_service.py
@@ -5,7 +5,7 @@
 import pytest
 from attrs import evolve
 
-from egretford.keeper.messages import Keep, Kept, NotReady, Reserve, Turn
+from egretford.keeper.messages import Keep, Kept, NotReady, Reserve, Reserved, Turn
 from egretford.policy.ledger import Charge
 from egretford.policy.views import Member, MemberState, View
 from tests.keeper.test_copying import make_service
@@ -46,3 +46,26 @@
 async def test_a_keeper_that_copies_answers_for_nothing_else(tmp_path, message):
     reply, _ = await answer(tmp_path, MemberState.ACTIVE, message)
     assert isinstance(reply, NotReady)
+
+
+# Guards against a turn taken by a keeper after it noted what others must copy before it leaves
+# (LOST).
+async def test_a_ready_keeper_that_leaves_takes_no_turns(tmp_path):
+    service, records = make_service(tmp_path, "d-a")
+    members = [Member(n, f"d-{n}", "", "z", MemberState.ACTIVE) for n in "bc"]
+    members.append(Member("a", "d-a", "", "z", MemberState.LEAVING))
+    await service.adopt(View(5, tuple(members), generation=2))
+    service.ready = True
+    reply = await service.answer(Keep(None, TURN, view=5))
+    assert isinstance(reply, NotReady) and not records.holds("t1")
+
+
+# Guards against turns that nobody can read although a keeper has them: the other one that took
+# the turn is gone, and this one still copies (LOST after a fault).
+async def test_a_keeper_that_copies_can_be_read_for_the_turns_that_it_took(tmp_path):
+    service, _ = make_service(tmp_path, "d-a")
+    members = [Member(n, f"d-{n}", "", "z", MemberState.ACTIVE) for n in "abc"]
+    await service.adopt(View(5, tuple(members), generation=2))
+    assert await service.answer(Keep(None, TURN, view=5)) == Kept()
+    reply = await service.answer(Reserve(None, "t1", with_chain=True, view=5))
+    assert isinstance(reply, Reserved) and reply.chain == (TURN,)
