Bound what a turn that waits for keepers asks and logs; tell when it is given up

A silent keeper's two reasons were logged by turns, and a turn that was given up left only 'no answer within the time that was left'. Cause: each refusal was asked again after 0.1 s, though a keeper refuses turns only while it does not count, which takes another view to change; reasons were compared with the last one only. Change: a refusal holds for its view, 0.5 s at most; each reason once a turn; 'a keeper failed' once a second a keeper; 'gave up keeping a turn' with who has it.

--- a/egretford/entry/copies.py
+++ b/egretford/entry/copies.py
@@ -15,9 +15,11 @@
 # A keeper that has not kept a turn after this long is helped out by the next one; a slow disk
 # takes some tens of milliseconds, another region as many.
 COPY_SECONDS = 0.25
-# A keeper that refused a turn is asked again after this long, as one that copies from others
-# is ready within about a second.
-REFUSAL_PAUSE_SECONDS = 0.1
+# A keeper that refused a turn is asked again under another view, as one refuses that does not
+# count, or after this long, as a disk that failed once may take the next write.
+REFUSAL_PAUSE_SECONDS = 0.5
+# How often the keepers that answer are looked through while none is left to ask.
+SHORTAGE_PAUSE_SECONDS = 0.1
 
 
 @frozen
@@ -28,6 +30,14 @@
     at: float
 
 
+@frozen
+class _Refusal:
+    """A keeper's refusal under a view; `until` in monotonic seconds."""
+
+    view: int
+    until: float
+
+
 @define
 class TurnCopies:
     """The copies of one turn, by the disks that hold them.
@@ -42,22 +52,30 @@
     _log: Any
     _kept: dict[str, Member] = Factory(dict)
     _asked: dict[asyncio.Task[KeeperReply], _Request] = Factory(dict)
-    _refused_until: dict[str, float] = Factory(dict)
-    _reasons: dict[str, str] = Factory(dict)
+    _refusals: dict[str, _Refusal] = Factory(dict)
+    _reasons: set[tuple[str, str]] = Factory(set)
 
     async def write(self) -> None:
         """Write the turn until enough keepers hold it; the caller bounds the time."""
         started = self._clock.monotonic()
-        while len(self.holders) < self._keepers.copies:
-            self._ask_more()
-            await self._wait_for_answer()
+        try:
+            while len(self.holders) < self._keepers.copies:
+                self._ask_more()
+                await self._wait_for_answer()
+        except asyncio.CancelledError:
+            self._log_outcome("gave up keeping a turn", started)
+            raise
         if self._reasons:
-            self._log.info(
-                "kept a turn after some keepers had not",
-                request=self.turn.id,
-                kept_by=self.holders,
-                ms=round((self._clock.monotonic() - started) * 1_000, 1),
-            )
+            self._log_outcome("kept a turn after some keepers had not", started)
+
+    def _log_outcome(self, event: str, started: float) -> None:
+        self._log.info(
+            event,
+            request=self.turn.id,
+            kept_by=self.holders,
+            view=self._keepers.view.number,
+            ms=round((self._clock.monotonic() - started) * 1_000, 1),
+        )
 
     @property
     def holders(self) -> list[str]:
@@ -81,24 +99,25 @@
             self._asked[self._keepers.start_asking(member, message)] = _Request(member, now)
 
     def _list_candidates(self, now: float) -> list[Member]:
-        busy = {request.member.disk for request in self._asked.values()}
-        return [
-            member
-            for member in self._keepers.rank_copies(self.turn.program)
-            if member.disk not in busy
-            and member.disk not in self._kept
-            and self._refused_until.get(member.disk, 0.0) <= now
-        ]
+        view = self._keepers.view
+        asked = {request.member.disk for request in self._asked.values()}
+        refused = {
+            disk
+            for disk, refusal in self._refusals.items()
+            if refusal.view == view.number and now < refusal.until
+        }
+        excluded = asked | refused | set(self._kept)
+        ranked = self._keepers.rank_copies(self.turn.program)
+        return [member for member in ranked if member.disk not in excluded]
 
     async def _wait_for_answer(self) -> None:
         """Wait for an answer, but no longer than until others may be asked."""
         if not self._asked:
-            await self._clock.sleep(REFUSAL_PAUSE_SECONDS)
+            await self._clock.sleep(SHORTAGE_PAUSE_SECONDS)
             return
         now = self._clock.monotonic()
-        late = [r.at + COPY_SECONDS - now for r in self._asked.values()]
-        again = [until - now for until in self._refused_until.values()]
-        timeout = min((s for s in [*late, *again] if s > 0), default=REFUSAL_PAUSE_SECONDS)
+        slow_in = [r.at + COPY_SECONDS - now for r in self._asked.values()]
+        timeout = min((s for s in slow_in if s > 0), default=SHORTAGE_PAUSE_SECONDS)
         done, _ = await asyncio.wait(
             self._asked, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
         )
@@ -119,14 +138,15 @@
                 # Asked again at once, under the view that came with the answer.
                 pass
             case _:
-                self._refused_until[member.disk] = self._clock.monotonic() + REFUSAL_PAUSE_SECONDS
+                until = self._clock.monotonic() + REFUSAL_PAUSE_SECONDS
+                self._refusals[member.disk] = _Refusal(self._keepers.view.number, until)
         self._note_reason(member, describe_outcome(task))
 
     def _note_reason(self, member: Member, reason: str) -> None:
         """Log why a keeper has not kept the turn, once a reason."""
-        if self._reasons.get(member.name) == reason:
+        if (member.name, reason) in self._reasons:
             return
-        self._reasons[member.name] = reason
+        self._reasons.add((member.name, reason))
         self._log.info(
             "a keeper did not keep a turn",
             request=self.turn.id,
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -38,6 +38,8 @@
 MIN_VIEW_SECONDS = 0.4
 # Views change one member at a time; more changes than this during one call are not expected.
 MAX_VIEW_CHANGES = 4
+# A keeper that keeps failing, as with a disk that refuses writes, is told of this often.
+FAILURE_LOG_SECONDS = 1.0
 # A keeper that did not answer is not counted on for this long.
 DOWN_SECONDS = 0.7
 
@@ -114,6 +116,7 @@
         self._groups = GroupCache(tolerated_losses)
         self._tasks = TaskGroup()
         self._down_until: dict[str, float] = {}
+        self._failure_log_due: dict[str, float] = {}
         self._copying: set[str] = set()
         self._needs_view = True
         self._reading: asyncio.Task[None] | None = None
@@ -284,7 +287,7 @@
                 await self._peers.ask(member.address, AdoptView(view), ASK_SECONDS)
                 reply = await self._peers.ask(member.address, message, ASK_SECONDS)
         except RequestError as error:
-            self._log.warning("a keeper failed", keeper=member.name, error=str(error))
+            self._log_failure(member, error)
             raise
         except EgretfordError as error:
             if member.disk not in self._down_until:
@@ -300,6 +303,12 @@
             self._note_readiness(member, isinstance(reply, NotReady))
         return reply
 
+    def _log_failure(self, member: Member, error: RequestError) -> None:
+        now = self._clock.monotonic()
+        if self._failure_log_due.get(member.disk, 0.0) <= now:
+            self._failure_log_due[member.disk] = now + FAILURE_LOG_SECONDS
+            self._log.warning("a keeper failed", keeper=member.name, error=str(error))
+
     def _note_readiness(self, member: Member, copying: bool) -> None:
         if copying == (member.disk in self._copying):
             return
--- a/tests/entry/test_copies.py
+++ b/tests/entry/test_copies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import pytest
 from attrs import evolve
@@ -18,6 +19,21 @@
 NOT_READY = NotReady("copying records from other keepers")
 
 
+class ListLog:
+    """Keeps what is logged."""
+
+    def __init__(self):
+        self.lines = []
+
+    def __getattr__(self, _):
+        return lambda event, **fields: self.lines.append((event, fields))
+
+    def count_reasons(self):
+        """Count the lines by keeper and reason."""
+        told = [f for event, f in self.lines if event == "a keeper did not keep a turn"]
+        return Counter((fields["keeper"], fields["reason"]) for fields in told)
+
+
 def answer_after(seconds, before, after):
     """Answer with `before` until `seconds` have passed since the first request."""
     loop = asyncio.get_running_loop()
@@ -37,6 +53,14 @@
     return loop.time() - started
 
 
+async def write_for(group, log, seconds):
+    """Write a turn for some seconds, whether or not enough take it."""
+    copies = TurnCopies(TURN, group, SystemClock(), log)
+    writing = asyncio.ensure_future(copies.write())
+    await asyncio.wait({writing}, timeout=seconds)
+    writing.cancel()
+
+
 # Guards against answers closed in their middle while a new keeper still copies (LOST).
 async def test_a_turn_waits_for_a_keeper_that_begins_to_count(make_group):
     for silent in "abc":
@@ -104,3 +128,30 @@
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(1.5):
             await keep(group)
+
+
+# Guards against turns that are cut without a word on what each keeper answered (diagnosis).
+async def test_what_each_keeper_answered_is_told(make_group):
+    group, _ = make_group(a=(NOT_READY, 0.0), b=(Kept(), 0.0), c=(Kept(), 0.6))
+    log = ListLog()
+    await write_for(group, log, 1.0)
+    assert log.count_reasons()["a", "NotReady"] == 1
+    assert log.count_reasons()["c", "no answer yet"] == 1
+
+
+# Guards against a log that grows for as long as a keeper is silent, as many lines a turn (memory).
+async def test_each_reason_of_a_keeper_is_told_once_a_turn(make_group):
+    group, _ = make_group(a=(Kept(), 0.0), b=(Kept(), 9.0), c=(Kept(), 9.0))
+    log = ListLog()
+    await write_for(group, log, 2.6)
+    assert max(log.count_reasons().values()) == 1
+
+
+# Guards against an answer that is cut with no word that its turn could not be kept (diagnosis).
+async def test_a_turn_that_was_given_up_is_told_with_its_copies(make_group):
+    group, _ = make_group(a=(Kept(), 0.0), b=(NOT_READY, 0.0), c=(NOT_READY, 0.0))
+    log = ListLog()
+    await write_for(group, log, 0.5)
+    await asyncio.sleep(0)
+    event, fields = log.lines[-1]
+    assert event != "a keeper did not keep a turn" and fields["kept_by"] == ["a"]
