A copy of a turn on a disk that is known to be lost does not count

Callers would have seen (LOST): a turn that ended well with one real copy, gone with the next loss. Cause: a keeper took the turn, its disk was lost, and its instance joined again with another one; until that one counts, the view still has the former, and the entry, which now waits longer for other copies, counted it. Change: View.replaced names such disks; they neither hold nor are asked. Test: one in tests/entry/test_copies.py, red before.

--- a/egretford/entry/copies.py
+++ b/egretford/entry/copies.py
@@ -79,9 +79,10 @@
 
     @property
     def holders(self) -> list[str]:
-        """The names of the keepers that have the turn and were not dropped since."""
-        members = self._keepers.view.holders
-        return sorted(member.name for member in members if member.disk in self._kept)
+        """The names of the keepers that have the turn, and whose disk was not lost since."""
+        view = self._keepers.view
+        counted = [member for member in view.holders if member.disk not in view.replaced]
+        return sorted(member.name for member in counted if member.disk in self._kept)
 
     def _ask_more(self) -> None:
         """Ask as many keepers as are lacking, but for those that may soon answer."""
@@ -106,7 +107,7 @@
             for disk, refusal in self._refusals.items()
             if refusal.view == view.number and now < refusal.until
         }
-        excluded = asked | refused | set(self._kept)
+        excluded = asked | refused | view.replaced | set(self._kept)
         ranked = self._keepers.rank_copies(self.turn.program)
         return [member for member in ranked if member.disk not in excluded]
 
--- a/egretford/policy/views.py
+++ b/egretford/policy/views.py
@@ -57,6 +57,12 @@
         """The members that may hold what others do not: all but those that still join."""
         return tuple(m for m in self.members if m.state is not MemberState.JOINING)
 
+    @property
+    def replaced(self) -> frozenset[str]:
+        """The disks of members whose instance joins again with another disk: they are lost."""
+        joining = {m.name: m.disk for m in self.members if m.state is MemberState.JOINING}
+        return frozenset(m.disk for m in self.members if joining.get(m.name, m.disk) != m.disk)
+
     def find(self, disk: str) -> Member | None:
         """Return the member with a disk, or None."""
         return next((member for member in self.members if member.disk == disk), None)
--- a/tests/entry/test_copies.py
+++ b/tests/entry/test_copies.py
@@ -12,6 +12,7 @@
 from egretford.entry.copies import TurnCopies
 from egretford.entry.turns import Turns
 from egretford.keeper.messages import Kept, NotReady, Turn
+from egretford.policy.views import Member, MemberState
 from tests.entry.fakes import MEMBERS, VIEW
 from tests.platform.standins import NullLog
 
@@ -155,3 +156,18 @@
     await asyncio.sleep(0)
     event, fields = log.lines[-1]
     assert event != "a keeper did not keep a turn" and fields["kept_by"] == ["a"]
+
+
+# Guards against turns that end well with a copy on a disk that is known to be lost (LOST).
+async def test_a_copy_on_a_disk_that_another_replaces_does_not_count(make_group):
+    group, peers = make_group(a=(NOT_READY, 0.0), b=(Kept(), 0.0), c=(NOT_READY, 0.0))
+    copies = make_copies(group)
+    writing = asyncio.ensure_future(copies.write())
+    while copies.holders != ["b"]:
+        await asyncio.sleep(0.02)
+    emptied = Member("b", "d-b2", "b", "z", MemberState.JOINING)
+    group.learn_view(evolve(VIEW, number=4, members=(*MEMBERS, emptied)))
+    peers.answers["b"], peers.answers["a"] = (NOT_READY, 0.0), (Kept(), 0.0)
+    done, _ = await asyncio.wait({writing}, timeout=0.6)
+    writing.cancel()
+    assert not done, f"called kept by {copies.holders} although b's disk is gone"
