A request to a keeper that times out fails no other on its connection

Callers would have seen turns refused or late. Change: the connection takes no new requests and is closed once none waits on it; one that was lost still fails all. Tests: tests/peer/test_streams.py, one red before; one that replaced connections are closed, green before and after.

--- a/egretford/peer/streams.py
+++ b/egretford/peer/streams.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 import msgpack
-from attrs import Factory, define
+from attrs import Factory, define, field
 
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.controllers.loops import TaskGroup
@@ -85,12 +85,16 @@
             self.transport.abort()
 
 
-@define
+@define(eq=False)
 class _Link:
-    """The connection to one peer, and the requests that wait for replies on it."""
+    """A connection to one peer, and the requests that wait for replies on it.
 
-    opening: asyncio.Task[_FrameProtocol]
+    One that is replaced takes no new requests, and is closed once none waits on it.
+    """
+
+    opening: asyncio.Task[_FrameProtocol] = field(init=False)
     waiting: dict[int, asyncio.Future[bytes]] = Factory(dict)
+    replaced: bool = False
 
     @property
     def protocol(self) -> _FrameProtocol | None:
@@ -98,10 +102,34 @@
         opened = self.opening.done() and not self.opening.cancelled()
         return self.opening.result() if opened and self.opening.exception() is None else None
 
+    def take_reply(self, number: int, payload: bytes) -> None:
+        """Hand a reply to the request that waits for it, if any does."""
+        future = self.waiting.get(number)
+        if future is not None and not future.done():
+            future.set_result(payload)
+
+    def replace(self) -> None:
+        """Take no new requests."""
+        self.replaced = True
+        self.close_if_done()
+
+    def close_if_done(self) -> None:
+        """Close a replaced connection that nobody waits on."""
+        if self.replaced and not self.waiting:
+            self.close()
+
     def fail(self, reason: str) -> None:
+        """Fail all that wait, and close."""
         for future in self.waiting.values():
             if not future.done():
                 future.set_exception(ConnectionResetError(reason))
+        self.close()
+
+    def close(self) -> None:
+        """Close at once."""
+        if self.protocol is not None:
+            self.protocol.close()
+        self.opening.cancel()
 
 
 class StreamPeerClient:
@@ -111,27 +139,33 @@
         self._requests = requests
         self._replies = replies
         self._links: dict[str, _Link] = {}
+        self._open_links: set[_Link] = set()
         self._numbers = itertools.count(1)
 
     async def close(self) -> None:
         """Close all connections."""
-        for address in list(self._links):
-            self._drop(address)
+        for link in {*self._links.values(), *self._open_links}:
+            self._drop(link)
 
     def keep_only(self, addresses: set[str]) -> None:
         """Close connections to peers that are gone."""
         for address in set(self._links) - addresses:
-            self._drop(address)
+            self._drop(self._links[address])
 
-    def _drop(self, address: str, only: _Link | None = None) -> None:
-        link = self._links.get(address)
-        if link is None or (only is not None and link is not only):
-            return
-        del self._links[address]
+    def _drop(self, link: _Link) -> None:
+        """Close a connection; whoever waits on it fails."""
+        self._forget(link)
         link.fail("the connection was replaced")
-        if link.protocol is not None:
-            link.protocol.close()
-        link.opening.cancel()
+
+    def _replace(self, link: _Link) -> None:
+        """Use another connection from now on; who waits on this one may still be answered."""
+        self._forget(link)
+        link.replace()
+
+    def _forget(self, link: _Link) -> None:
+        for address, current in list(self._links.items()):
+            if current is link:
+                del self._links[address]
 
     async def ask(self, address: str, message: Any, seconds: float) -> Any:
         """Send a request and return the reply.
@@ -144,8 +178,11 @@
         try:
             async with asyncio.timeout(seconds):
                 answer = await self._exchange(link, data)
-        except (TimeoutError, OSError) as error:
-            self._drop(address, link)
+        except TimeoutError as error:
+            self._replace(link)
+            raise PeerUnreachableError(f"{address}: {error!r}") from error
+        except OSError as error:
+            self._drop(link)
             raise PeerUnreachableError(f"{address}: {error!r}") from error
         try:
             reply = decode_bytes(answer, self._replies)
@@ -158,30 +195,30 @@
     def _find_link(self, address: str) -> _Link:
         link = self._links.get(address)
         if link is None:
-            link = _Link(asyncio.create_task(self._open(address)))
+            link = _Link()
+            link.opening = asyncio.create_task(self._open(address, link))
             # An error is raised where the link is used, or nobody uses it any more.
             link.opening.add_done_callback(lambda task: task.cancelled() or task.exception())
             self._links[address] = link
         return link
 
-    async def _open(self, address: str) -> _FrameProtocol:
+    async def _open(self, address: str, link: _Link) -> _FrameProtocol:
         host, _, port = address.removeprefix("tcp://").rpartition(":")
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_SECONDS):
             _, protocol = await loop.create_connection(
-                lambda: _FrameProtocol(
-                    lambda _, number, payload: self._take_reply(address, number, payload)
-                ),
+                lambda: _FrameProtocol(lambda _, number, payload: link.take_reply(number, payload)),
                 host,
                 int(port),
             )
-        protocol.on_lost = lambda: self._drop_lost(address, protocol)
+        protocol.on_lost = lambda: self._note_lost(link)
+        if not protocol.closed:
+            self._open_links.add(link)
         return protocol
 
-    def _drop_lost(self, address: str, protocol: _FrameProtocol) -> None:
-        link = self._links.get(address)
-        if link is not None and link.protocol is protocol:
-            self._drop(address)
+    def _note_lost(self, link: _Link) -> None:
+        self._open_links.discard(link)
+        self._drop(link)
 
     async def _exchange(self, link: _Link, data: bytes) -> bytes:
         try:
@@ -200,12 +237,7 @@
             return await future
         finally:
             del link.waiting[number]
-
-    def _take_reply(self, address: str, number: int, payload: bytes) -> None:
-        link = self._links.get(address)
-        future = link.waiting.get(number) if link is not None else None
-        if future is not None and not future.done():
-            future.set_result(payload)
+            link.close_if_done()
 
 
 class StreamPeerServer:
--- a/tests/peer/test_streams.py
+++ b/tests/peer/test_streams.py
@@ -45,6 +45,34 @@
     await server.close()
 
 
+# Guards against one late answer, as from a slow disk, failing all other requests (refused turns).
+async def test_a_request_that_times_out_fails_no_other_on_its_connection():
+    address, server, client = await serve(answer)
+    late = asyncio.create_task(client.ask(address, FetchTurns(("5",)), 0.1))
+    other = asyncio.create_task(client.ask(address, FetchTurns(("0.3",)), 1.0))
+    with pytest.raises(PeerUnreachableError):
+        await late
+    assert isinstance(await client.ask(address, FetchTurns(()), 0.5), TurnPage)
+    assert isinstance(await other, TurnPage)
+    await client.close()
+    await server.close()
+
+
+# Guards against connections that are never closed once they went silent (descriptors used up).
+async def test_a_replaced_connection_is_closed_once_nobody_waits_on_it():
+    address, server, client = await serve(answer)
+    for _ in range(3):
+        with pytest.raises(PeerUnreachableError):
+            await client.ask(address, FetchTurns(("5",)), 0.05)
+    await client.ask(address, FetchTurns(()), 0.5)
+    await asyncio.sleep(0.1)
+    assert len(server._connections) == 1
+    await client.close()
+    await asyncio.sleep(0.1)
+    assert not server._connections
+    await server.close()
+
+
 async def test_a_peer_that_is_gone_and_back_is_reached_again():
     address, server, client = await serve(answer)
     await client.ask(address, FetchTurns(()), 0.5)
