Stay with a slow stream instead of asking for it in vain and closing it

What callers saw: on a resumable route with attempts = 1, a worker that pauses 0.7 s between events: the answer was closed after 1.8 s with one event, of 3 s allowed. At a slow worker that leaves, it was closed at the first 0.6 s. Cause: any silence of 0.6 s gave the connection up, also if no repeat and no other worker was allowed afterwards; and each repeat at a slow worker had to get its first event within 0.6 s again, so that repeats made no progress. The one about dead connections passed before and guards what the repeats are for. Ruled out: only staying once the repeats are used up. Two repeats cost 1.2 s without an event, and by its script the worker then needs until 3.3 s of 3 s. Change: when a stream is silent, the connection is given up only if the request may be sent once more, to its worker or to another that is there; else it stays open until the caller's time ends. Once one connection was given up, the next gets 1.8 s, unless another worker may take over. Dead connections are left as often as before, the second one later (1.8 s); a third is not left. Tests: also the pure rules in tests/policy/test_attempts.py.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -42,9 +42,6 @@
 # A repeatable call without an answer after this long is sent to another worker; the longest
 # of them takes some tens of milliseconds on an idle worker.
 SAFE_ATTEMPT_SECONDS = 0.3
-# A resumable stream that is silent for this long is asked for again on a new connection; a
-# pause beyond 0.3 s is late already.
-STREAM_SILENCE_SECONDS = 0.6
 # Refusals by workers after which a request is refused rather than offered once more.
 MAX_REFUSALS = 4
 # A worker needs some time to answer; with less left a send would be no real offer.
@@ -139,9 +136,12 @@
             except UpstreamLostError as error:
                 self._note_loss(job, tracked, error)
 
-    def _choose(self, job: Forwarding) -> TrackedWorker:
+    def _list_candidates(self, job: Forwarding) -> list[TrackedWorker]:
         usable = self._workers.list_usable(job.upstream)
-        candidates = [t for t in usable if t.worker.id not in job.excluded]
+        return [t for t in usable if t.worker.id not in job.excluded]
+
+    def _choose(self, job: Forwarding) -> TrackedWorker:
+        candidates = self._list_candidates(job)
         if not candidates:
             raise job.refuse(ErrorKind.OVERLOADED, f"no worker of {job.upstream} takes the request")
         chosen, wanted = choose_worker(job.request, candidates, self._placement, self._region)
@@ -217,7 +217,7 @@
                 reply = await self._read_reply(job, tracked, connection)
                 is_stream = job.route.kind is RouteKind.STREAMING and reply.succeeded
                 if is_stream:
-                    await self._pass_events(job, connection, reply)
+                    await self._pass_events(job, tracked, connection, reply)
                 else:
                     await self._pass_whole(job, connection, reply)
         finally:
@@ -322,10 +322,14 @@
         job.responder.send_whole(reply.status, Headers(list(reply.fields)), b"".join(parts))
 
     async def _pass_events(
-        self, job: Forwarding, connection: ClientConnection, reply: WorkerReply
+        self,
+        job: Forwarding,
+        tracked: TrackedWorker,
+        connection: ClientConnection,
+        reply: WorkerReply,
     ) -> None:
         splitter = EventSplitter()
-        while not isinstance(part := await self._read_part(job, connection), BodyEnd):
+        while not isinstance(part := await self._read_part(job, tracked, connection), BodyEnd):
             try:
                 events = splitter.feed(part.data)
             except EventError as error:
@@ -341,13 +345,21 @@
         self._begin_stream(job, reply)
         job.responder.finish_stream()
 
-    async def _read_part(self, job: Forwarding, connection: ClientConnection) -> BodyPart | BodyEnd:
-        limit = STREAM_SILENCE_SECONDS if job.route.resumable else None
+    async def _read_part(
+        self, job: Forwarding, tracked: TrackedWorker, connection: ClientConnection
+    ) -> BodyPart | BodyEnd:
+        limit = job.history.silence_limit if job.route.resumable else None
         try:
             async with asyncio.timeout(limit):
                 return await connection.read()
         except TimeoutError as error:
-            raise UpstreamLostError("the stream went silent", crashed=True) from error
+            worker = tracked.worker.id
+            others = any(t is not tracked for t in self._list_candidates(job))
+            if job.history.may_go_on(worker, leaving=tracked.state.leaving, others=others):
+                job.history.note_silence()
+                raise UpstreamLostError("the stream went silent", crashed=True) from error
+        self._log.info("stays at a silent worker", request=job.request.id, worker=worker)
+        return await connection.read()
 
     async def _pass_event(self, job: Forwarding, reply: WorkerReply, event: StreamEvent) -> None:
         numbered = event.number is not None and job.last_event is not None
--- /dev/null
+++ b/tests/platform/test_begun_answers.py
@@ -0,0 +1,79 @@
+"""Answers that have begun go on as long as their callers have time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.platform.deployment import run_deployment
+from tests.platform.standins import make_event
+
+WHOLE = b"".join(make_event(number) for number in range(1, 5))
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with run_deployment(tmp_path) as running:
+        yield running
+
+
+async def stream_slowly(worker, arrival, responder):
+    """Stream with 0.7 s before each event but the first, also before the first of a resumption."""
+    first = int(arrival.headers.get_text(b"Last-Event-Id") or 0) + 1
+    responder.start_stream(200, worker.sign(arrival.request_id))
+    for number in range(first, worker.events + 1):
+        if number > 1:
+            await asyncio.sleep(0.7)
+        await responder.write(make_event(number))
+    responder.finish_stream()
+    return True
+
+
+# Guards against an answer closed in its middle for its worker's silence, with time left (LOST).
+async def test_a_slow_worker_is_no_reason_to_end_an_answer(deployment):
+    for worker in deployment.workers[:2]:
+        worker.script = stream_slowly
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    took = loop.time() - started
+    sent = len(deployment.arrivals("p1"))
+    assert answer.whole and answer.body == WHOLE, f"ended after {took:.2f} s, sent {sent} times"
+
+
+# Guards against an answer closed at 0.6 s of silence as its worker may get nothing new (LOST).
+async def test_a_stream_stays_at_a_slow_worker_that_is_leaving(deployment):
+    async def leave_and_pause(worker, arrival, responder):
+        responder.start_stream(200, worker.sign(arrival.request_id))
+        await responder.write(make_event(1))
+        deployment.store.put("servers", worker.id, worker.describe("draining"))
+        await asyncio.sleep(1.0)
+        for number in range(2, worker.events + 1):
+            await responder.write(make_event(number))
+        responder.finish_stream()
+        return True
+
+    for worker in deployment.workers[:2]:
+        worker.script = leave_and_pause
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert answer.whole and answer.body == WHOLE
+    assert len(deployment.arrivals("p1")) == 1
+
+
+# Guards against a wait for a connection that is dead, as one after it may be too (late streams).
+async def test_a_stream_leaves_connections_that_went_silent_for_good(deployment):
+    async def go_silent_twice(worker, arrival, responder):
+        if len(deployment.arrivals("p1")) > 2:
+            return False
+        responder.start_stream(200, worker.sign(arrival.request_id))
+        if len(deployment.arrivals("p1")) == 1:
+            await responder.write(make_event(1))
+        await asyncio.sleep(10)
+        return True
+
+    for worker in deployment.workers[:2]:
+        worker.script = go_silent_twice
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert answer.whole and answer.body == WHOLE
+    assert sum(any(a.request_id == "p1" for a in w.arrivals) for w in deployment.workers) == 1
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -5,7 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from egretford.policy.attempts import MAX_REPEATS, AttemptHistory
+from egretford.policy.attempts import (
+    LATER_SILENCE_SECONDS,
+    MAX_REPEATS,
+    STREAM_SILENCE_SECONDS,
+    AttemptHistory,
+)
 
 
 def test_a_route_of_one_attempt_allows_no_second_living_worker():
@@ -34,6 +39,37 @@
     assert not history.may_repeat("a") and history.may_add_worker
 
 
+# Guards against a slow worker's time spent on connections opened anew (LOST).
+def test_a_second_connection_to_the_only_worker_allowed_gets_more_time():
+    history = AttemptHistory(allowed=1)
+    history.note_sent("a")
+    assert history.silence_limit == STREAM_SILENCE_SECONDS
+    history.note_silence()
+    assert history.silence_limit == LATER_SILENCE_SECONDS
+
+
+# Guards against a long wait at a hung worker while another one may take over (late streams).
+def test_a_second_connection_gets_no_more_time_where_another_worker_is_allowed():
+    history = AttemptHistory(allowed=2)
+    history.note_sent("a")
+    history.note_silence()
+    assert history.silence_limit == STREAM_SILENCE_SECONDS
+
+
+# Guards against a connection given up with no way to go on (LOST).
+def test_a_request_goes_on_only_where_a_repeat_or_another_worker_is_allowed():
+    history = AttemptHistory(allowed=1)
+    history.note_sent("a")
+    assert history.may_go_on("a", leaving=False, others=False)
+    assert not history.may_go_on("a", leaving=True, others=True)
+    for _ in range(MAX_REPEATS):
+        history.note_sent("a")
+    assert not history.may_go_on("a", leaving=False, others=True)
+    history.note_ended("a")
+    assert history.may_go_on("a", leaving=False, others=True)
+    assert not history.may_go_on("a", leaving=False, others=False)
+
+
 @given(st.integers(1, 3), st.lists(st.tuples(st.integers(0, 4), st.booleans())))
 def test_no_more_living_workers_than_allowed_ever_run_a_request(allowed, steps):
     history = AttemptHistory(allowed)
