--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -3,24 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
-from attrs import Factory, define, field
-
 from egretford.clock import Clock
 from egretford.entry.choice import choose_worker
 from egretford.entry.events import EventError, EventSplitter, StreamEvent
-from egretford.entry.models import CallerRequest, Route, RouteKind, WorkerReply
+from egretford.entry.jobs import Forwarding
+from egretford.entry.models import RouteKind, WorkerReply
 from egretford.entry.workers import TrackedWorker, WorkerTable
 from egretford.errors import (
     ErrorKind,
-    RequestError,
     UpstreamGoneError,
     UpstreamLostError,
     UpstreamRefusedError,
-    Verdict,
 )
 from egretford.http.client import (
     BodyEnd,
@@ -30,9 +27,7 @@
     ConnectError,
 )
 from egretford.http.messages import Headers
-from egretford.http.server import Responder
 from egretford.platform.wire import decode_reply, encode_request
-from egretford.policy.attempts import AttemptHistory
 from egretford.policy.placement import Placement
 
 # A connection that may have gone silent is only reused for calls that may be sent again;
@@ -49,56 +44,6 @@
 MAX_ANSWER_BYTES = 8_388_608
 
 
-@define
-class Forwarding:
-    """One request on its way; `deadline` in monotonic seconds.
-
-    `before_end` is awaited when a stream is complete, before its end is passed on. `sent`
-    holds while an attempt is at a worker, `lost` counts those that ended without its word.
-    `repeat_at` is the worker that runs a request whose answer was lost.
-    """
-
-    request: CallerRequest
-    route: Route
-    upstream: str
-    body: bytes = field(repr=False)
-    responder: Responder
-    deadline: float
-    before_end: Callable[[], Awaitable[None]] | None = None
-    on_crash: Callable[[str], None] | None = None
-    offers: int = 0
-    refusals: int = 0
-    lost: int = 0
-    sent: bool = False
-    excluded: set[str] = Factory(set)
-    repeat_at: TrackedWorker | None = None
-    events: int = 0
-    last_event: int | None = None
-    output: list[bytes] = Factory(list)
-    worker: str = ""
-    history: AttemptHistory = field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self.history = AttemptHistory(self.route.attempts)
-
-    @property
-    def can_repeat(self) -> bool:
-        """Whether a request that may have run may be sent once more."""
-        return self.route.repeatable or self.route.resumable
-
-    @property
-    def verdict(self) -> Verdict:
-        """What may be said of the request if it ends without an answer now.
-
-        An attempt that was sent may have run until its worker says that it has not.
-        """
-        return Verdict.MAY_HAVE_RUN if self.lost or self.sent else Verdict.NOT_RUN
-
-    def refuse(self, kind: ErrorKind, message: str) -> RequestError:
-        """Build an error with the verdict that holds."""
-        return RequestError(kind, message, verdict=self.verdict)
-
-
 class Forwarder:
     """Chooses workers and passes answers on."""
 
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -10,7 +10,8 @@
 
 from egretford.clock import Clock
 from egretford.entry.crashes import SharedCrashes
-from egretford.entry.forwarding import Forwarder, Forwarding
+from egretford.entry.forwarding import Forwarder
+from egretford.entry.jobs import Forwarding
 from egretford.entry.models import CallerRequest, Route, RouteKind, RoutingTable
 from egretford.entry.turns import TurnAdmission, Turns
 from egretford.entry.workers import WorkerTable
