Offer a begun answer again after a pause instead of closing it at a refusal

What callers saw: a worker was gone after two events of a resumable stream, the only other one answered 503 with Not-Executed once: the answer was closed after some 10 ms, with 3 s left. So too if the one worker that may run it refused. Cause: a worker that refused was excluded for good, and no candidate, a fourth refusal or a refusal by the only worker allowed ended every request alike. An answer that has begun cannot be refused any more, so its channel was closed. Ruled out: a longer list of refusals. With one worker left it is as short. Change: once an answer has begun, it pauses when no worker is left to ask, then those that refused may be asked again: 0.05 s, doubled up to 0.4 s, until the caller's time ends. Workers out of reach stay excluded, as do lost ones after which another was allowed. What has begun only goes to workers that may run it by its history, so that a route's attempts hold; a refusal counts as no run. Tests: also the pure rules in tests/policy/test_attempts.py.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -71,6 +71,9 @@
     async def _run_attempts(self, job: Forwarding) -> None:
         while True:
             tracked = job.repeat_at or self._choose(job)
+            if tracked is None:
+                await self._pause(job)
+                continue
             try:
                 await self._attempt(job, tracked)
                 return
@@ -83,10 +86,32 @@
 
     def _list_candidates(self, job: Forwarding) -> list[TrackedWorker]:
         usable = self._workers.list_usable(job.upstream)
-        return [t for t in usable if t.worker.id not in job.excluded]
+        barred = job.excluded | job.refused_by
+        candidates = [t for t in usable if t.worker.id not in barred]
+        if job.responder.started:
+            return [t for t in candidates if job.history.may_send(t.worker.id)]
+        return candidates
 
-    def _choose(self, job: Forwarding) -> TrackedWorker:
+    async def _pause(self, job: Forwarding) -> None:
+        """Wait until workers that refused to go on with a begun answer may have room."""
+        seconds = job.history.take_pause()
+        refused_by = sorted(job.refused_by)
+        self._log.info(
+            "pauses an answer", request=job.request.id, wait_s=seconds, refused_by=refused_by
+        )
+        await asyncio.sleep(seconds)
+        job.refused_by.clear()
+        job.repeat_at, job.stay_at = job.stay_at, None
+        if (stay := job.repeat_at) is not None:
+            leaving = stay.state.leaving
+            if not job.history.may_go_on(stay.worker.id, leaving=leaving, others=False):
+                raise job.refuse(ErrorKind.OVERLOADED, "the only worker allowed takes no more")
+
+    def _choose(self, job: Forwarding) -> TrackedWorker | None:
+        """Return a worker, or None if a begun answer has to wait for one."""
         candidates = self._list_candidates(job)
+        if job.responder.started and (not candidates or len(job.refused_by) >= MAX_REFUSALS):
+            return None
         if not candidates:
             raise job.refuse(ErrorKind.OVERLOADED, f"no worker of {job.upstream} takes the request")
         chosen, wanted = choose_worker(job.request, candidates, self._placement, self._region)
@@ -108,20 +133,25 @@
     ) -> None:
         job.refusals += 1
         job.sent = False
-        job.excluded.add(tracked.worker.id)
+        job.refused_by.add(tracked.worker.id)
         job.repeat_at = None
+        job.stay_at = None if job.history.may_add_worker else tracked
         self._log.info(
             "a worker did not take a request",
             request=job.request.id,
             worker=tracked.worker.id,
             reason=str(error),
         )
+        if job.responder.started:
+            # It cannot be refused any more, so it goes on as long as its caller waits.
+            return
         if job.refusals >= MAX_REFUSALS or not job.history.may_add_worker:
             raise job.refuse(ErrorKind.OVERLOADED, str(error)) from error
 
     def _note_gone(self, job: Forwarding, tracked: TrackedWorker, error: UpstreamGoneError) -> None:
         """Go on without a worker that cannot be reached under its address any more."""
         job.history.note_ended(tracked.worker.id)
+        job.excluded.add(tracked.worker.id)
         self._note_refusal(job, tracked, error)
 
     def _note_loss(self, job: Forwarding, tracked: TrackedWorker, error: UpstreamLostError) -> None:
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -19,7 +19,8 @@
 
     `before_end` is awaited when a stream is complete, before its end is passed on. `sent`
     holds while an attempt is at a worker, `lost` counts those that ended without its word.
-    `repeat_at` is the worker that runs a request whose answer was lost.
+    `repeat_at` is the worker that runs a request whose answer was lost; `stay_at` is it while
+    it refuses and no other is allowed. `refused_by` are those not to ask until a pause is over.
     """
 
     request: CallerRequest
@@ -35,7 +36,9 @@
     lost: int = 0
     sent: bool = False
     excluded: set[str] = Factory(set)
+    refused_by: set[str] = Factory(set)
     repeat_at: TrackedWorker | None = None
+    stay_at: TrackedWorker | None = None
     events: int = 0
     last_event: int | None = None
     output: list[bytes] = Factory(list)
--- a/egretford/policy/attempts.py
+++ b/egretford/policy/attempts.py
@@ -13,6 +13,10 @@
 # The same once a new connection was tried in vain: the worker is rather slow than out of touch.
 # Together they come to more than the 2 s after which callers may leave.
 LATER_SILENCE_SECONDS = 1.8
+# A begun answer that no worker took is offered again after this long, doubled up to the second:
+# a place is free within some tens of milliseconds, or the workers are full for a while.
+FIRST_PAUSE_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 0.4
 
 
 @define
@@ -26,6 +30,7 @@
     ran_on: dict[str, int] = Factory(dict)
     ended: set[str] = Factory(set)
     silences: int = 0
+    pauses: int = 0
 
     def note_sent(self, worker: str) -> None:
         """Note that a worker was sent the request."""
@@ -64,6 +69,18 @@
         """Whether a worker that ran the request may be asked again."""
         return worker not in self.ended and self.ran_on.get(worker, 0) <= MAX_REPEATS
 
+    def may_send(self, worker: str) -> bool:
+        """Whether a worker may get the request, be it again or as one more."""
+        if worker in self.ran_on:
+            return self.may_repeat(worker)
+        return worker not in self.ended and self.may_add_worker
+
+    def take_pause(self) -> float:
+        """Return for how many seconds to wait before the workers are asked again."""
+        seconds = min(FIRST_PAUSE_SECONDS * 2**self.pauses, LONGEST_PAUSE_SECONDS)
+        self.pauses += 1
+        return seconds
+
     def may_go_on(self, worker: str, *, leaving: bool, others: bool) -> bool:
         """Whether a begun request may be sent once more: to `worker`, or to one of `others`."""
         return (self.may_repeat(worker) and not leaving) or (self.may_add_worker and others)
--- a/tests/platform/test_begun_answers.py
+++ b/tests/platform/test_begun_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from egretford.http.messages import Headers
 from tests.platform.deployment import run_deployment
 from tests.platform.standins import make_event
 
@@ -77,3 +78,81 @@
     answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
     assert answer.whole and answer.body == WHOLE
     assert sum(any(a.request_id == "p1" for a in w.arrivals) for w in deployment.workers) == 1
+
+
+# Guards against an answer closed in its middle since no worker had a place just then (LOST).
+async def test_a_begun_stream_is_offered_again_after_a_refusal(deployment):
+    broken, refused = [], []
+
+    async def crash_once_refuse_once(worker, arrival, responder):
+        if not broken:
+            broken.append(worker.id)
+            await worker.stream(arrival, responder, upto=3)
+            await worker.close()
+            return True
+        if not refused:
+            refused.append(worker.id)
+            responder.send_whole(503, Headers([(b"Not-Executed", b"1")]), b"")
+            return True
+        return False
+
+    for worker in deployment.workers[:2]:
+        worker.script = crash_once_refuse_once
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    took = loop.time() - started
+    assert refused and answer.whole and answer.body == WHOLE, f"ended after {took:.2f} s"
+
+
+def refuse(responder):
+    responder.send_whole(503, Headers([(b"Not-Executed", b"1")]), b"")
+    return True
+
+
+# Guards against an answer closed since the worker it has to stay at had no place just then (LOST).
+async def test_a_begun_stream_waits_for_the_only_worker_that_may_run_it(deployment):
+    async def break_off_and_refuse(worker, arrival, responder):
+        count = len(deployment.arrivals("p1"))
+        if count == 1:
+            await worker.stream(arrival, responder, upto=3)
+            return True
+        return count <= 6 and refuse(responder)
+
+    for worker in deployment.workers[:2]:
+        worker.script = break_off_and_refuse
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert answer.whole and answer.body == WHOLE
+    assert sum(any(a.request_id == "p1" for a in w.arrivals) for w in deployment.workers) == 1
+
+
+# Guards against workers flooded with an answer that none takes, and against one that never ends.
+async def test_a_begun_stream_that_no_worker_takes_ends_with_its_callers_time(deployment):
+    async def break_off_and_refuse(worker, arrival, responder):
+        if len(deployment.arrivals("p1")) == 1:
+            await worker.stream(arrival, responder, upto=3)
+            return True
+        return refuse(responder)
+
+    for worker in deployment.workers[:2]:
+        worker.script = break_off_and_refuse
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert not answer.whole and answer.body == b"".join(make_event(n) for n in (1, 2))
+    assert 2.9 < loop.time() - started < 3.5
+    assert len(deployment.arrivals("p1")) <= 12
+
+
+# Guards against callers held who could still be refused: they are told at once to come back.
+async def test_a_request_that_has_not_begun_is_refused_at_once(deployment):
+    async def refuse_all(worker, arrival, responder):
+        return refuse(responder)
+
+    for worker in deployment.workers[:2]:
+        worker.script = refuse_all
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert answer.status == 503 and float(answer.headers.get_text(b"Retry-After")) > 0
+    assert loop.time() - started < 0.5
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -6,7 +6,9 @@
 from hypothesis import strategies as st
 
 from egretford.policy.attempts import (
+    FIRST_PAUSE_SECONDS,
     LATER_SILENCE_SECONDS,
+    LONGEST_PAUSE_SECONDS,
     MAX_REPEATS,
     STREAM_SILENCE_SECONDS,
     AttemptHistory,
@@ -70,6 +72,27 @@
     assert not history.may_go_on("a", leaving=False, others=False)
 
 
+# Guards against a request that runs on more workers than allowed after a refusal (BUDGET).
+def test_after_a_refusal_a_request_goes_only_where_it_may_run():
+    history = AttemptHistory(allowed=1)
+    history.note_sent("a")
+    history.note_sent("b")
+    history.note_not_run("b")
+    assert history.may_send("a") and not history.may_send("b")
+    history.note_ended("a")
+    assert history.may_send("b") and not history.may_send("a")
+    history.note_ended("b")
+    assert not history.may_send("b")
+
+
+# Guards against full workers asked over and over again.
+def test_pauses_grow_to_a_bound():
+    history = AttemptHistory(allowed=1)
+    pauses = [history.take_pause() for _ in range(20)]
+    assert pauses[:2] == [FIRST_PAUSE_SECONDS, 2 * FIRST_PAUSE_SECONDS]
+    assert set(pauses[4:]) == {LONGEST_PAUSE_SECONDS}
+
+
 @given(st.integers(1, 3), st.lists(st.tuples(st.integers(0, 4), st.booleans())))
 def test_no_more_living_workers_than_allowed_ever_run_a_request(allowed, steps):
     history = AttemptHistory(allowed)
