--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -3,24 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
-from attrs import Factory, define, field
-
 from egretford.clock import Clock
 from egretford.entry.choice import choose_worker
 from egretford.entry.events import EventError, EventSplitter, StreamEvent
-from egretford.entry.models import CallerRequest, Route, RouteKind, WorkerReply
+from egretford.entry.jobs import Forwarding
+from egretford.entry.models import RouteKind, WorkerReply
 from egretford.entry.workers import TrackedWorker, WorkerTable
 from egretford.errors import (
     ErrorKind,
-    RequestError,
     UpstreamGoneError,
     UpstreamLostError,
     UpstreamRefusedError,
-    Verdict,
 )
 from egretford.http.client import (
     BodyEnd,
@@ -30,9 +27,7 @@
     ConnectError,
 )
 from egretford.http.messages import Headers
-from egretford.http.server import Responder
 from egretford.platform.wire import decode_reply, encode_request
-from egretford.policy.attempts import AttemptHistory
 from egretford.policy.placement import Placement
 
 # A connection that may have gone silent is only reused for calls that may be sent again;
@@ -42,9 +37,6 @@
 # A repeatable call without an answer after this long is sent to another worker; the longest
 # of them takes some tens of milliseconds on an idle worker.
 SAFE_ATTEMPT_SECONDS = 0.3
-# A resumable stream that is silent for this long is asked for again on a new connection; a
-# pause beyond 0.3 s is late already.
-STREAM_SILENCE_SECONDS = 0.6
 # Refusals by workers after which a request is refused rather than offered once more.
 MAX_REFUSALS = 4
 # A worker needs some time to answer; with less left a send would be no real offer.
@@ -52,56 +44,6 @@
 MAX_ANSWER_BYTES = 8_388_608
 
 
-@define
-class Forwarding:
-    """One request on its way; `deadline` in monotonic seconds.
-
-    `before_end` is awaited when a stream is complete, before its end is passed on. `sent`
-    holds while an attempt is at a worker, `lost` counts those that ended without its word.
-    `repeat_at` is the worker that runs a request whose answer was lost.
-    """
-
-    request: CallerRequest
-    route: Route
-    upstream: str
-    body: bytes = field(repr=False)
-    responder: Responder
-    deadline: float
-    before_end: Callable[[], Awaitable[None]] | None = None
-    on_crash: Callable[[str], None] | None = None
-    offers: int = 0
-    refusals: int = 0
-    lost: int = 0
-    sent: bool = False
-    excluded: set[str] = Factory(set)
-    repeat_at: TrackedWorker | None = None
-    events: int = 0
-    last_event: int | None = None
-    output: list[bytes] = Factory(list)
-    worker: str = ""
-    history: AttemptHistory = field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self.history = AttemptHistory(self.route.attempts)
-
-    @property
-    def can_repeat(self) -> bool:
-        """Whether a request that may have run may be sent once more."""
-        return self.route.repeatable or self.route.resumable
-
-    @property
-    def verdict(self) -> Verdict:
-        """What may be said of the request if it ends without an answer now.
-
-        An attempt that was sent may have run until its worker says that it has not.
-        """
-        return Verdict.MAY_HAVE_RUN if self.lost or self.sent else Verdict.NOT_RUN
-
-    def refuse(self, kind: ErrorKind, message: str) -> RequestError:
-        """Build an error with the verdict that holds."""
-        return RequestError(kind, message, verdict=self.verdict)
-
-
 class Forwarder:
     """Chooses workers and passes answers on."""
 
@@ -129,6 +71,9 @@
     async def _run_attempts(self, job: Forwarding) -> None:
         while True:
             tracked = job.repeat_at or self._choose(job)
+            if tracked is None:
+                await self._pause(job)
+                continue
             try:
                 await self._attempt(job, tracked)
                 return
@@ -139,9 +84,34 @@
             except UpstreamLostError as error:
                 self._note_loss(job, tracked, error)
 
-    def _choose(self, job: Forwarding) -> TrackedWorker:
+    def _list_candidates(self, job: Forwarding) -> list[TrackedWorker]:
         usable = self._workers.list_usable(job.upstream)
-        candidates = [t for t in usable if t.worker.id not in job.excluded]
+        barred = job.excluded | job.refused_by
+        candidates = [t for t in usable if t.worker.id not in barred]
+        if job.responder.started:
+            return [t for t in candidates if job.history.may_send(t.worker.id)]
+        return candidates
+
+    async def _pause(self, job: Forwarding) -> None:
+        """Wait until workers that refused to go on with a begun answer may have room."""
+        seconds = job.history.take_pause()
+        refused_by = sorted(job.refused_by)
+        self._log.info(
+            "pauses an answer", request=job.request.id, wait_s=seconds, refused_by=refused_by
+        )
+        await asyncio.sleep(seconds)
+        job.refused_by.clear()
+        job.repeat_at, job.stay_at = job.stay_at, None
+        if (stay := job.repeat_at) is not None:
+            leaving = stay.state.leaving
+            if not job.history.may_go_on(stay.worker.id, leaving=leaving, others=False):
+                raise job.refuse(ErrorKind.OVERLOADED, "the only worker allowed takes no more")
+
+    def _choose(self, job: Forwarding) -> TrackedWorker | None:
+        """Return a worker, or None if a begun answer has to wait for one."""
+        candidates = self._list_candidates(job)
+        if job.responder.started and (not candidates or len(job.refused_by) >= MAX_REFUSALS):
+            return None
         if not candidates:
             raise job.refuse(ErrorKind.OVERLOADED, f"no worker of {job.upstream} takes the request")
         chosen, wanted = choose_worker(job.request, candidates, self._placement, self._region)
@@ -163,20 +133,25 @@
     ) -> None:
         job.refusals += 1
         job.sent = False
-        job.excluded.add(tracked.worker.id)
+        job.refused_by.add(tracked.worker.id)
         job.repeat_at = None
+        job.stay_at = None if job.history.may_add_worker else tracked
         self._log.info(
             "a worker did not take a request",
             request=job.request.id,
             worker=tracked.worker.id,
             reason=str(error),
         )
+        if job.responder.started:
+            # It cannot be refused any more, so it goes on as long as its caller waits.
+            return
         if job.refusals >= MAX_REFUSALS or not job.history.may_add_worker:
             raise job.refuse(ErrorKind.OVERLOADED, str(error)) from error
 
     def _note_gone(self, job: Forwarding, tracked: TrackedWorker, error: UpstreamGoneError) -> None:
         """Go on without a worker that cannot be reached under its address any more."""
         job.history.note_ended(tracked.worker.id)
+        job.excluded.add(tracked.worker.id)
         self._note_refusal(job, tracked, error)
 
     def _note_loss(self, job: Forwarding, tracked: TrackedWorker, error: UpstreamLostError) -> None:
@@ -217,7 +192,7 @@
                 reply = await self._read_reply(job, tracked, connection)
                 is_stream = job.route.kind is RouteKind.STREAMING and reply.succeeded
                 if is_stream:
-                    await self._pass_events(job, connection, reply)
+                    await self._pass_events(job, tracked, connection, reply)
                 else:
                     await self._pass_whole(job, connection, reply)
         finally:
@@ -322,10 +297,14 @@
         job.responder.send_whole(reply.status, Headers(list(reply.fields)), b"".join(parts))
 
     async def _pass_events(
-        self, job: Forwarding, connection: ClientConnection, reply: WorkerReply
+        self,
+        job: Forwarding,
+        tracked: TrackedWorker,
+        connection: ClientConnection,
+        reply: WorkerReply,
     ) -> None:
         splitter = EventSplitter()
-        while not isinstance(part := await self._read_part(job, connection), BodyEnd):
+        while not isinstance(part := await self._read_part(job, tracked, connection), BodyEnd):
             try:
                 events = splitter.feed(part.data)
             except EventError as error:
@@ -341,13 +320,21 @@
         self._begin_stream(job, reply)
         job.responder.finish_stream()
 
-    async def _read_part(self, job: Forwarding, connection: ClientConnection) -> BodyPart | BodyEnd:
-        limit = STREAM_SILENCE_SECONDS if job.route.resumable else None
+    async def _read_part(
+        self, job: Forwarding, tracked: TrackedWorker, connection: ClientConnection
+    ) -> BodyPart | BodyEnd:
+        limit = job.history.silence_limit if job.route.resumable else None
         try:
             async with asyncio.timeout(limit):
                 return await connection.read()
         except TimeoutError as error:
-            raise UpstreamLostError("the stream went silent", crashed=True) from error
+            worker = tracked.worker.id
+            others = any(t is not tracked for t in self._list_candidates(job))
+            if job.history.may_go_on(worker, leaving=tracked.state.leaving, others=others):
+                job.history.note_silence()
+                raise UpstreamLostError("the stream went silent", crashed=True) from error
+        self._log.info("stays at a silent worker", request=job.request.id, worker=worker)
+        return await connection.read()
 
     async def _pass_event(self, job: Forwarding, reply: WorkerReply, event: StreamEvent) -> None:
         numbered = event.number is not None and job.last_event is not None
