--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -99,7 +99,7 @@
         self._log.info(
             "pauses an answer", request=job.request.id, wait_s=seconds, refused_by=refused_by
         )
-        await asyncio.sleep(seconds)
+        await self._clock.sleep(seconds)
         job.refused_by.clear()
         job.repeat_at, job.stay_at = job.stay_at, None
         if (stay := job.repeat_at) is not None:
