Soak: an assertion at import becomes a test

It stood at the end of checks.py, so a failure would have been an import error of every run instead of a named test. The same assertion is now in test_soak.py, with the whole stream beside it.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,7 +5,7 @@
 import re
 from collections import defaultdict
 
-from tests.platform.standins import Arrival, make_event
+from tests.platform.standins import Arrival
 from tests.soak.load import EVENT_TOKENS, PROMISES, TURN_TOKENS, Load, whole_stream
 
 EVENT = re.compile(rb"id: (\d+)\n")
@@ -97,6 +97,3 @@
         for turn, status in lasting.items()
         if status != 200
     ]
-
-
-assert make_event(1) in whole_stream()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -32,6 +32,12 @@
     assert not report.problems, (cause, report.problems[:5])
 
 
+# Guards against checks of streams that compare with something workers never send.
+def test_the_expected_stream_is_what_workers_send():
+    assert whole_stream() == b"".join(make_event(number) for number in range(1, 5))
+    assert make_event(1) in whole_stream()
+
+
 def make_attempt(kind="chat", status=200, body=None, **fields) -> Attempt:
     body = whole_stream() if body is None else body
     answer = Answer(status, Headers([(b"Request-Id", b"r1")]), body)
