Soak: replace keepers for good under planned work, and check that answers end whole

It restarted keepers, also with an empty disk, but always under the same name and address; none was gone for good. Restarts of entries and new configurations came beside unplanned faults only, so that hardly a request was owed its answer; and no check looked at answers that were closed in their middle, callers just tried again. A slow disk is no excuse; - each run reports how many requests were owed so, else a quiet check says nothing. Not shown: replacement without slow disks.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -173,12 +173,14 @@
 
 @define
 class Arrival:
-    """What a worker got."""
+    """What a worker got, and whether it ended its answer well."""
 
     request_id: str
     body: bytes
     headers: Headers
     http: HttpRequest
+    worker: str = ""
+    ended_well: bool = False
 
 
 Script = Callable[["WorkerStandin", Arrival, Responder], Awaitable[bool]]
@@ -216,7 +218,7 @@
         if expected not in (None, self.id):
             responder.send_whole(421, Headers([(b"Instance-Id", self.id.encode())]), b"")
             return
-        arrival = Arrival(request_id, http.body, http.headers, http)
+        arrival = Arrival(request_id, http.body, http.headers, http, self.id)
         self.arrivals.append(arrival)
         if self.script is not None and await self.script(self, arrival, responder):
             return
@@ -224,6 +226,7 @@
             await self.stream(arrival, responder)
         else:
             responder.send_whole(200, self.sign(request_id), b"done " + request_id.encode())
+            arrival.ended_well = True
 
     def sign(self, request_id: str) -> Headers:
         return Headers(
@@ -245,6 +248,7 @@
             await responder.write(make_event(number))
             await asyncio.sleep(0)
         responder.finish_stream()
+        arrival.ended_well = True
 
 
 def make_event(number: int) -> bytes:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,17 +6,23 @@
 from collections import defaultdict
 
 from tests.platform.standins import Arrival
-from tests.soak.load import EVENT_TOKENS, PROMISES, TURN_TOKENS, Load, whole_stream
+from tests.soak.load import (
+    DEADLINE_SECONDS,
+    EVENT_TOKENS,
+    PROMISES,
+    TURN_TOKENS,
+    Attempt,
+    Load,
+    whole_stream,
+)
+from tests.soak.processes import CORE
 
 EVENT = re.compile(rb"id: (\d+)\n")
 
 
 def check_all(load: Load) -> list[str]:
     """Return what broke; empty if every promise was kept."""
-    arrivals: dict[str, list[Arrival]] = defaultdict(list)
-    for worker in load.cluster.workers:
-        for arrival in worker.arrivals:
-            arrivals[arrival.request_id].append(arrival)
+    arrivals = collect_arrivals(load)
     checks = (
         check_runs_at_most_once,
         check_promised_refusals,
@@ -24,10 +30,26 @@
         check_answers,
         check_budgets,
         check_known_turns,
+        check_ended_answers,
     )
     return [problem for check in checks for problem in check(load, arrivals)]
 
 
+def collect_arrivals(load: Load) -> dict[str, list[Arrival]]:
+    """Return what workers got, by request."""
+    arrivals: dict[str, list[Arrival]] = defaultdict(list)
+    for worker in load.cluster.workers:
+        for arrival in worker.arrivals:
+            arrivals[arrival.request_id].append(arrival)
+    return arrivals
+
+
+def count_owed(load: Load) -> int:
+    """Return how many requests were owed their whole answer."""
+    arrivals = collect_arrivals(load)
+    return sum(is_owed(load, attempt, arrivals[attempt.id]) for attempt in load.attempts)
+
+
 def check_runs_at_most_once(load: Load, arrivals: dict[str, list[Arrival]]):
     """Only calls that may be repeated reach workers more than once."""
     for attempt in load.attempts:
@@ -90,6 +112,35 @@
             yield f"LOST: {attempt.id} was told that turn {attempt.previous} does not exist"
 
 
+def check_ended_answers(load: Load, arrivals: dict[str, list[Arrival]]):
+    """What a sound worker has ended well reaches its caller whole, before its time is up."""
+    for attempt in load.attempts:
+        whole = attempt.answer is not None and attempt.answer.whole
+        took = attempt.ended_at - attempt.sent_at
+        if not whole and took < DEADLINE_SECONDS and is_owed(load, attempt, arrivals[attempt.id]):
+            yield (
+                f"LOST: {attempt.kind} {attempt.id} at {attempt.entry} was closed after "
+                f"{took:.3f} s, at {attempt.ended_at:.3f}, though its worker ended it well"
+            )
+
+
+def is_owed(load: Load, attempt: Attempt, arrivals: list[Arrival]) -> bool:
+    """Whether a worker ended an answer well, with nothing near that excuses its loss.
+
+    Whatever is planned, and a slow disk, is no excuse; an unplanned disruption of the entry,
+    the worker, the keepers or the store is one for a while.
+    """
+    for arrival in arrivals:
+        targets = {attempt.entry, arrival.worker, CORE}
+        excused = any(
+            disruption.excuses(targets, attempt.sent_at, attempt.ended_at)
+            for disruption in load.cluster.disruptions
+        )
+        if arrival.ended_well and not excused:
+            return True
+    return False
+
+
 def check_kept_turns(load: Load, lasting: dict[str, int | None]) -> list[str]:
     """After all faults, each program's newest turn can be continued."""
     return [
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -21,6 +21,7 @@
 TURN_TOKENS = 50
 RETENTION_SECONDS = 60.0
 CONNECT_SECONDS = 1.0
+DEADLINE_SECONDS = 3.0
 # Statuses that promise that the request has not run and never will.
 PROMISES = frozenset({402, 404, 408, 421, 429, 503})
 
@@ -165,6 +166,7 @@
                     method=method,
                     body=body,
                     request_id=attempt.id,
+                    deadline_ms=int(DEADLINE_SECONDS * 1_000),
                     connection=connection,
                     **fields,
                 )
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -13,11 +13,13 @@
 import sys
 from pathlib import Path
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
+from egretford.platform.agreements import VIEW_KIND, VIEW_NAME
 from tests.platform.deployment import ZONES, find_free_port, make_configuration
 from tests.platform.standins import StoreStandin, WorkerStandin
-from tests.soak.proxy import Proxy
+from tests.soak.proxy import Mode, Proxy
+from tests.soak.slow_disk import SYNC_FILE
 
 ROOT = Path(__file__).resolve().parents[2]
 SETTINGS = """
@@ -44,6 +46,24 @@
 """
 STOP_SECONDS = 8.0
 UNLIMITED = resource.RLIM_INFINITY
+# What disturbs the keepers or the store disturbs all requests.
+CORE = "core"
+# Requests sent this long after an unplanned disruption are not owed an answer yet.
+CONTACT_SECONDS = 4.0
+
+
+@frozen
+class Disruption:
+    """An unplanned fault of one entry, one worker, or the core, in seconds of the loop."""
+
+    target: str
+    began: float
+    ended: float
+
+    def excuses(self, targets: set[str], sent_at: float, ended_at: float) -> bool:
+        """Whether a request that met these targets came too close to it."""
+        near = self.began <= ended_at and sent_at <= self.ended + CONTACT_SECONDS
+        return near and self.target in targets
 
 
 @define(eq=False)
@@ -55,11 +75,13 @@
     folder: Path
     listens: str
     proxy: Proxy
+    zone: str
     ready: str = ""
     process: subprocess.Popen | None = None
 
     def start(self) -> None:
-        command = [sys.executable, "-m", "egretford.cli.main", self.role]
+        module = "tests.soak.slow_disk" if self.role == "keeper" else "egretford.cli.main"
+        command = [sys.executable, "-m", module, self.role]
         if self.role == "keeper":
             command += ["--advertise", self.proxy.address]
         environment = {**os.environ, "EGRETFORD_BOOT": str(self.folder / "node.toml")}
@@ -108,6 +130,16 @@
             with contextlib.suppress(ProcessLookupError):
                 resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
 
+    def slow_syncs(self, seconds: float | None) -> None:
+        """Have each sync of a keeper wait this long from now on; None ends that."""
+        path = self.folder / SYNC_FILE
+        if seconds is None:
+            path.unlink(missing_ok=True)
+            return
+        draft = path.with_suffix(".new")
+        draft.write_text(str(seconds))
+        draft.replace(path)
+
 
 @define
 class Cluster:
@@ -123,6 +155,9 @@
     worker_proxies: dict[str, Proxy] = Factory(dict)
     keepers: list[Node] = Factory(list)
     entries: list[Node] = Factory(list)
+    gone: list[Node] = Factory(list)
+    keepers_added: int = 0
+    disruptions: list[Disruption] = Factory(list)
     version: int = 3
 
     async def start(self) -> None:
@@ -135,9 +170,9 @@
             upstream = "models" if number < 3 else "booking"
             await self.add_worker(f"{upstream}-{number}", upstream, zones[number % 3])
         for number in range(self.keeper_count):
-            self.keepers.append(await self._make_node("keeper", number))
+            self.keepers.append(await self._make_node("keeper", number, zones[number % 3]))
         for number in range(self.entry_count):
-            self.entries.append(await self._make_node("entry", number))
+            self.entries.append(await self._make_node("entry", number, zones[number % 3]))
         for node in (*self.keepers, *self.entries):
             node.start()
 
@@ -165,8 +200,30 @@
         await worker.close()
         self.worker_proxies[worker.id].reset()
 
-    async def _make_node(self, role: str, number: int) -> Node:
-        name, zone = f"{role}-{number + 1}", list(ZONES)[number % len(ZONES)]
+    def retire_keeper(self, node: Node, mode: Mode) -> None:
+        """Have a keeper go for good; `mode` is what becomes of calls of its address."""
+        self.keepers.remove(node)
+        self.gone.append(node)
+        node.send_signal(signal.SIGKILL)
+        node.process.wait()
+        node.proxy.mode = mode
+
+    async def add_keeper(self, zone: str) -> Node:
+        """Start an empty keeper with a name, an address and a disk of its own."""
+        self.keepers_added += 1
+        number = self.keeper_count + self.keepers_added - 1
+        node = await self._make_node("keeper", number, zone)
+        self.keepers.append(node)
+        node.start()
+        return node
+
+    def counts(self, node: Node) -> bool:
+        """Whether a keeper counts in the newest view."""
+        view = self.store.objects[VIEW_KIND, VIEW_NAME]["spec"]
+        return any(m["name"] == node.name and m["state"] == "active" for m in view["members"])
+
+    async def _make_node(self, role: str, number: int, zone: str) -> Node:
+        name = f"{role}-{number + 1}"
         folder = self.folder / name
         folder.mkdir(parents=True)
         front, ready, peer_port = find_free_port(), find_free_port(), find_free_port()
@@ -187,10 +244,10 @@
             store=self.store_proxy.address,
         )
         (folder / "node.toml").write_text(text)
-        return Node(name, role, folder, listens, proxy, ready=f"127.0.0.1:{ready}")
+        return Node(name, role, folder, listens, proxy, zone, ready=f"127.0.0.1:{ready}")
 
     async def close(self) -> None:
-        for node in (*self.entries, *self.keepers):
+        for node in (*self.entries, *self.keepers, *self.gone):
             node.refuse_writes(False)
             await node.stop(signal.SIGKILL)
             await node.proxy.close()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,7 +20,7 @@
 
 from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError, read_whole
 from egretford.http.messages import encode_head
-from tests.soak.checks import check_all, check_kept_turns
+from tests.soak.checks import check_all, check_kept_turns, count_owed
 from tests.soak.faults import Faults
 from tests.soak.load import RETENTION_SECONDS, Load
 from tests.soak.processes import Cluster
@@ -39,6 +39,7 @@
     problems: list[str] = Factory(list)
     attempts: int = 0
     served: int = 0
+    owed: int = 0
     continued: int = 0
     injected: Counter = Factory(Counter)
 
@@ -46,6 +47,7 @@
         verdict = "ok" if not self.problems else f"{len(self.problems)} PROBLEMS"
         return (
             f"seed {self.seed}: {verdict}; {self.served} of {self.attempts} requests served, "
+            f"{self.owed} owed their whole answer, "
             f"{self.continued} chains continued after {sum(self.injected.values())} faults"
         )
 
@@ -61,7 +63,7 @@
         await wait_ready(cluster)
         load = Load(cluster, random.Random(rng.random()))
         load.start(PROGRAMS * (4 if large else 1))
-        faults = Faults(cluster, load, random.Random(rng.random()))
+        faults = Faults(cluster, load, random.Random(rng.random()), random.Random(rng.random()))
         await faults.run(seconds)
         report.injected = faults.injected
         ended_at = asyncio.get_running_loop().time()
@@ -69,9 +71,10 @@
         await load.end()
         # Late runs of what was refused would show until now.
         await asyncio.sleep(1.0)
-        report.problems = check_all(load) + check_kept_turns(load, lasting)
+        report.problems = faults.problems + check_all(load) + check_kept_turns(load, lasting)
         report.attempts = len(load.attempts)
         report.served = sum(attempt.served for attempt in load.attempts)
+        report.owed = count_owed(load)
         report.continued = len(lasting)
     finally:
         await cluster.close()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import time
 from collections import defaultdict
 
 import pytest
@@ -10,7 +12,9 @@
 from tests.platform.standins import Answer, Arrival, make_event
 from tests.soak import checks
 from tests.soak.load import Attempt, Chain, Load, whole_stream
+from tests.soak.processes import CORE, Cluster, Disruption, Node
 from tests.soak.run import run_seed
+from tests.soak.slow_disk import SYNC_FILE, slow_down_syncs
 
 CI_SECONDS = 6.0
 # Seeds that broke a promise once: (seed, seconds, cause).
@@ -24,6 +28,8 @@
     assert not report.problems, report.problems[:5]
     assert report.served > 0.5 * report.attempts
     assert sum(report.injected.values()) > 3
+    assert report.injected["keeper_replace"] > 0
+    assert report.owed > 0.1 * report.attempts
 
 
 @pytest.mark.parametrize(("seed", "seconds", "cause"), REGRESSIONS)
@@ -41,7 +47,7 @@
 def make_attempt(kind="chat", status=200, body=None, **fields) -> Attempt:
     body = whole_stream() if body is None else body
     answer = Answer(status, Headers([(b"Request-Id", b"r1")]), body)
-    return Attempt("r1", kind, "p", 0.0, answer=answer, **fields)
+    return Attempt("r1", kind, "p", fields.pop("sent_at", 0.0), answer=answer, **fields)
 
 
 def make_arrivals(*bodies: bytes):
@@ -75,6 +81,51 @@
     assert not list(checks.check_budgets(load, make_arrivals()))
 
 
+# Guards against answers closed midway around planned work that the soak lets pass (inc1, LOST).
+def test_the_check_of_ended_answers_goes_red():
+    attempt = make_attempt(body=make_event(1), entry="entry-1", sent_at=10.0, ended_at=10.5)
+    attempt.answer.whole = False
+    arrivals = make_arrivals(b"")
+    load = Load(Cluster(None), None, attempts=[attempt])
+    assert not list(checks.check_ended_answers(load, arrivals))
+    arrivals["r1"][0].ended_well = True
+    for answer in (attempt.answer, None):
+        attempt.answer = answer
+        assert list(checks.check_ended_answers(load, arrivals))
+    attempt.ended_at = 13.0
+    assert not list(checks.check_ended_answers(load, arrivals))
+
+
+# Guards against a check that is quiet because of faults that had nothing to do with the answer.
+@pytest.mark.parametrize(
+    ("disruption", "excused"),
+    [
+        (Disruption("entry-1", 6.0, 6.5), True),
+        (Disruption("worker-1", 10.2, 11.0), True),
+        (Disruption(CORE, 3.0, 7.0), True),
+        (Disruption("entry-2", 9.0, 10.2), False),
+        (Disruption("worker-2", 9.0, 10.2), False),
+        (Disruption(CORE, 3.0, 5.9), False),
+        (Disruption(CORE, 10.6, 12.0), False),
+    ],
+)
+def test_only_near_disruptions_of_what_a_request_met_excuse(disruption, excused):
+    targets = {"entry-1", "worker-1", CORE}
+    assert disruption.excuses(targets, 10.0, 10.5) is excused
+
+
+# Guards against a slow disk that is none.
+def test_syncs_are_slow_while_the_file_says_so(tmp_path, monkeypatch):
+    monkeypatch.setattr(os, "fdatasync", lambda handle: None)
+    slow_down_syncs(tmp_path / SYNC_FILE)
+    node = Node("k", "keeper", tmp_path, "", None, "z")
+    for seconds in (0.2, None):
+        node.slow_syncs(seconds)
+        started = time.monotonic()
+        os.fdatasync(0)
+        assert (time.monotonic() - started >= 0.2) is (seconds is not None)
+
+
 def test_the_check_of_lasting_turns_goes_red():
     assert checks.check_kept_turns(None, {"t1": 503, "t2": 200}) == [
         "LOST: the turn t1 cannot be continued: 503"
