Do not take a machine's new disk for the one that it lost

What callers saw: 404 for a turn that was answered whole and that a keeper which was only down still had. Charges were exposed to the same: a reservation may pass unseen what only that keeper had.

Cause: a page of records was taken from whichever process answers at a member's address. A machine that lost its disk and runs on with an empty one so answered for its former disk, which then counted as copied, and as heard. With one tolerated loss: a turn is at K and x, K is down, x loses its disk and restarts, J joins. J lacked only K, counted after 3 s and dropped it; two copies were gone, but the view passed for whole.

In tests/policy/test_groups.py the play with charges knows lost disks, machines that replace theirs and joins while members are down; a directed script goes red there if an empty disk passes for the lost one.

Ruled out: records that were written and not synced, and a wrong choice of who must hold a turn: the turn was on K's disk all the time, and is served when K is back.

Why this works: pages of records and of turns tell the disk that they come from. If it is another than the source's, nothing of the source is copied or heard, so J lacks two and waits.

--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -43,6 +43,7 @@
     Records up to `position` were copied while `former` were the active disks. After a change
     of members they are looked through again; `scanned` tells how far, for `members`.
     `copied_view` and `copied_generation` are the newest under which all were copied.
+    `replaced` tells that its machine answers with another disk: this one will not come back.
     """
 
     member: Member
@@ -55,6 +56,7 @@
     copied_view: int = 0
     copied_generation: int = 0
     ready: bool = False
+    replaced: bool = False
 
 
 class CompletionStore(Protocol):
@@ -169,7 +171,7 @@
             case UnknownView():
                 await self._ask(source, AdoptView(view))
                 return True
-            case RecordPage():
+            case RecordPage() if not source.replaced:
                 before = source.scanned
                 if not await self._take(source, reply, view):
                     return True
@@ -180,11 +182,18 @@
 
     async def _ask(self, source: Source, message: KeeperRequest) -> KeeperReply:
         reply = await self._peers.ask(source.member.address, message, ASK_SECONDS)
-        source.heard_at = self._clock.monotonic()
+        if isinstance(reply, RecordPage | TurnPage):
+            replaced = reply.disk != source.member.disk
+            if replaced and not source.replaced:
+                self._log.warning("a keeper has another disk", keeper=source.member.name)
+            source.replaced = replaced
+        # What answers with another disk tells nothing of the one that was asked.
+        if not source.replaced:
+            source.heard_at = self._clock.monotonic()
         return reply
 
     async def _take(self, source: Source, page: RecordPage, view: View) -> bool:
-        """Write a page's records; False if the view changed before its turns were fetched."""
+        """Write a page's records; False if the view or the disk changed before all had come."""
         # One source at a time, so that no turn comes twice over a narrow link.
         async with self._fetching:
             missing = [turn_id for turn_id in page.turns if not self._records.holds(turn_id)]
@@ -192,8 +201,8 @@
                 asked = tuple(missing[:MAX_FETCH_IDS])
                 message = FetchTurns(asked, view=self._service.view.number)
                 reply = await self._ask(source, message)
-                if not isinstance(reply, TurnPage):
-                    # The page is asked for again under the newer view.
+                if not isinstance(reply, TurnPage) or source.replaced:
+                    # The page is asked for again, under a newer view if there is one.
                     return False
                 await self._records.write(list(reply.turns))
                 # What does not come although nothing else does has expired there.
--- a/egretford/keeper/membership.py
+++ b/egretford/keeper/membership.py
@@ -193,7 +193,7 @@
         missing = self._list_uncopied()
         replaced = any(m.name == self._me.name and m.disk != self._me.disk for m in view.members)
         lost = len(missing) + (1 if replaced else 0)
-        if missing and not all(self._is_silent(s, MISSING_SOURCE_SECONDS) for s in missing):
+        if not all(self._is_given_up(source) for source in missing):
             return
         if lost > self._tolerated or not view.active:
             return
@@ -211,8 +211,8 @@
         if self._target_view is None:
             self._target_view = self._service.view.number
         missing = self._list_uncopied()
-        silent = all(self._is_silent(s, MISSING_SOURCE_SECONDS) for s in missing)
-        if not missing or (silent and len(missing) <= self._tolerated):
+        given_up = all(self._is_given_up(source) for source in missing)
+        if given_up and len(missing) <= self._tolerated:
             await self._set_ready(missing)
 
     def _list_uncopied(self) -> list[Source]:
@@ -234,6 +234,10 @@
             without=[source.member.name for source in missing],
         )
 
+    def _is_given_up(self, source: Source) -> bool:
+        """Whether no more is waited for a source; a lost disk never comes back."""
+        return source.replaced or self._is_silent(source, MISSING_SOURCE_SECONDS)
+
     def _is_silent(self, source: Source, seconds: float) -> bool:
         return self._clock.monotonic() - source.heard_at >= seconds
 
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -122,7 +122,8 @@
     """Charges, and ids of turns, that the asker is to hold.
 
     `position` is how far the records were looked through, `more` tells that another page
-    follows, `ready` whether the keeper holds all that it is to hold.
+    follows, `ready` whether the keeper holds all that it is to hold. `disk` is the one that
+    answers: not the asked one's if that was lost and its machine runs on with another.
     """
 
     lifetime: str
@@ -131,6 +132,7 @@
     turns: tuple[str, ...]
     more: bool
     ready: bool
+    disk: str
 
 
 @frozen
@@ -143,9 +145,10 @@
 
 @frozen
 class TurnPage:
-    """The turns that are held, as many as fit."""
+    """The turns that are held on `disk`, as many as fit."""
 
     turns: tuple[Turn, ...]
+    disk: str
 
 
 @frozen
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -160,7 +160,7 @@
             case ListRecords():
                 return self._list(message)
             case FetchTurns():
-                return TurnPage(tuple(self._records.find_turns(message.ids)))
+                return TurnPage(tuple(self._records.find_turns(message.ids)), self._disk)
             case ShareCrashes():
                 now = self._clock.monotonic()
                 self._crashes.learn(message.seen, now)
@@ -232,6 +232,7 @@
             tuple(found.turns),
             found.more,
             self.ready,
+            self._disk,
         )
 
     def is_copied_by(self, disk: str, view_number: int, position: int) -> bool:
--- a/tests/keeper/test_copying.py
+++ b/tests/keeper/test_copying.py
@@ -150,3 +150,54 @@
             await asyncio.sleep(0.05)
     await copying.close()
     assert link.charges == 0
+
+
+class OtherDiskLink(NarrowLink):
+    """Asks a service of another disk once `is_lost` says so."""
+
+    def __init__(self, services, is_lost):
+        super().__init__(services)
+        self.is_lost = is_lost
+
+    async def ask(self, address, message, seconds):
+        if address == "a" and self.is_lost(message):
+            address = "emptied"
+        return await super().ask(address, message, seconds)
+
+
+async def copy_from_lost_disk(tmp_path, is_lost):
+    members = tuple(Member(n, n, n, n, MemberState.ACTIVE) for n in ("a", "new"))
+    services, held = {}, {}
+    for name in ("a", "emptied", "new"):
+        services[name], held[name] = make_service(tmp_path / name, name)
+        await services[name].adopt(View(4, members, generation=2))
+    await held["a"].write([Turn("t1", None, "p", b"q", b"a", 60.0, ("a", "new"))])
+    copying = make_copying(services["new"], held["new"], OtherDiskLink(services, is_lost))
+    await copying.start()
+    started = SystemClock().monotonic()
+    await asyncio.sleep(0.8)
+    await copying.close()
+    source = copying.sources["a"]
+    return source, source.heard_at - started
+
+
+# Guards against a 404 and a second spending of a budget: a lost disk that counts as copied,
+# since its machine answers with an empty one (LOST, BUDGET).
+async def test_a_machine_with_another_disk_does_not_answer_for_the_lost_one(tmp_path):
+    source, heard_after = await copy_from_lost_disk(tmp_path, lambda message: True)
+    assert (source.copied_view, source.copied_generation, source.position) == (0, 0, 0)
+    assert source.replaced and heard_after < 0.1
+
+
+# Guards against the same where the disk is lost between a listing and its turns (LOST).
+async def test_turns_that_a_lost_disk_had_listed_are_not_passed_over(tmp_path):
+    lost = []
+
+    def is_lost(message):
+        if isinstance(message, FetchTurns):
+            lost.append(True)
+        return bool(lost)
+
+    source, _ = await copy_from_lost_disk(tmp_path, is_lost)
+    assert (source.copied_view, source.copied_generation, source.position) == (0, 0, 0)
+    assert lost and source.replaced
--- a/tests/policy/test_groups.py
+++ b/tests/policy/test_groups.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from attrs import Factory, define
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -14,7 +15,14 @@
     list_active,
     list_counted,
 )
-from egretford.policy.views import Member, View, activate_member, add_member, drop_member
+from egretford.policy.views import (
+    Member,
+    View,
+    activate_member,
+    add_member,
+    drop_member,
+    remove_member,
+)
 
 PROGRAMS = [f"p{n}" for n in range(6)]
 
@@ -30,26 +38,50 @@
 
 @define
 class World:
-    """Keepers, the newest view, and the charges that were kept."""
+    """Keepers, the newest view, and the charges that were kept.
+
+    Where `mistaken`, a machine that has an empty disk passes for the one that it had before.
+    """
 
     tolerated: int
     trusting: bool = False
+    mistaken: bool = False
     view: View = Factory(View)
     keepers: dict[str, Keeper] = Factory(dict)
     kept: set[tuple[str, int]] = Factory(set)
+    lost: set[str] = Factory(set)
     count: int = 0
 
-    def join(self) -> None:
+    def join(self, unreachable: frozenset[str] = frozenset(), name: str | None = None) -> None:
         disk = f"d{len(self.keepers)}"
         memory = GroupMemory(disk, GroupCache(self.tolerated))
         self.keepers[disk] = Keeper(disk, memory)
-        self.view = add_member(self.view, Member(f"n-{disk}", disk, "", "z"))
+        self.view = add_member(self.view, Member(name or f"n-{disk}", disk, "", "z"))
         if self.view.find(disk) not in self.view.active:
-            self.copy_all(disk)
-            self.view = activate_member(self.view, disk, frozenset())
+            for other in {m.disk for m in self.view.members} - unreachable:
+                self.copy(disk, other)
+            if not self.activate(disk):
+                self.view = remove_member(self.view, disk)
+                return
         self.adopt(disk)
         self.note(disk)
 
+    def activate(self, disk: str) -> bool:
+        """Let a member count if it has copied from enough others, as `keeper/membership.py`."""
+        mine, copied = self.view.find(disk), self.keepers[disk].copied
+        missing = {m.disk for m in self.view.active if copied.get(m.disk, 0) < self.view.generation}
+        if len(missing) > self.tolerated:
+            return False
+        others = {disk for disk in missing if self.view.find(disk).name != mine.name}
+        self.view = activate_member(self.view, disk, frozenset(others))
+        return True
+
+    def lose(self, disk: str) -> None:
+        """Lose a disk for good, unless as many are lost as may be."""
+        if len(self.lost) < self.tolerated:
+            self.lost.add(disk)
+            self.keepers[disk].held.clear()
+
     def adopt(self, disk: str) -> Keeper:
         keeper = self.keepers[disk]
         if keeper.number < self.view.number:
@@ -62,7 +94,7 @@
             self.copy(disk, other.disk)
 
     def copy(self, disk: str, source: str) -> None:
-        if disk == source:
+        if disk == source or disk in self.lost or (source in self.lost and not self.mistaken):
             return
         keeper, other = self.adopt(disk), self.adopt(source)
         counted = list_counted(self.view, disk)
@@ -79,7 +111,7 @@
         keeper.memory.complete(self.view, lacking)
 
     def drop(self, disk: str) -> None:
-        others = [m.disk for m in self.view.active if m.disk != disk]
+        others = [m.disk for m in self.view.active if m.disk not in {disk, *self.lost}]
         whole = all(
             self.keepers[o].memory.completion.generation == self.view.generation for o in others
         )
@@ -95,7 +127,7 @@
 
     def reserve(self, program: str, reached: set[str]) -> None:
         group = choose_group(list_active(self.view), program, self.tolerated)
-        answering = [self.adopt(disk) for disk in group if disk in reached]
+        answering = [self.adopt(disk) for disk in group if disk in reached - self.lost]
         answering = [k for k in answering if self.trusting or k.memory.covers(program)]
         self.count += 1
         for keeper in answering:
@@ -124,7 +156,9 @@
     st.tuples(st.just("copy"), indexes, indexes),
     st.tuples(st.just("drop"), indexes),
     st.tuples(st.just("restart"), indexes),
-    st.tuples(st.just("join")),
+    st.tuples(st.just("join"), st.frozensets(indexes, max_size=2)),
+    st.tuples(st.just("lose"), indexes),
+    st.tuples(st.just("replace"), st.frozensets(indexes, max_size=2)),
 )
 
 
@@ -143,12 +177,17 @@
             world.drop(pick(index))
         case ("restart", index):
             world.restart(pick(index))
-        case ("join",) if len(world.keepers) < 14:
-            world.join()
+        case ("join", down) if len(world.keepers) < 14:
+            world.join(frozenset(map(pick, down)))
+        case ("lose", index):
+            world.lose(pick(index))
+        case ("replace", down):
+            for disk in sorted(world.lost.intersection(active))[:1]:
+                world.join(frozenset(map(pick, down)), world.view.find(disk).name)
 
 
 @settings(max_examples=300, deadline=None)
-@given(st.sampled_from([(1, 4), (1, 6), (2, 6), (2, 9)]), st.lists(steps, max_size=60))
+@given(st.sampled_from([(1, 3), (1, 4), (1, 6), (2, 6), (2, 9)]), st.lists(steps, max_size=60))
 def test_a_reservation_sees_every_charge_that_was_kept(shape, script):
     world = make_world(*shape)
     for step in script:
@@ -175,6 +214,27 @@
     raise AssertionError("nothing was lost without the mechanism")
 
 
+# Guards against charges that no reservation sees: a disk is lost while a keeper that has what it
+# had is down, and a new keeper takes the place of that one (BUDGET).
+def test_the_check_goes_red_where_an_empty_disk_passes_for_the_lost_one():
+    def drive(mistaken):
+        world = make_world(1, 3)
+        world.mistaken = mistaken
+        first, second, _ = list_active(world.view)
+        for program in PROGRAMS:
+            world.reserve(program, {first, second})
+        world.lose(second)
+        world.join(frozenset({first}))
+        for disk in list_active(world.view):
+            world.copy_all(disk)
+        for program in PROGRAMS:
+            world.reserve(program, set(list_active(world.view)) - {first})
+
+    drive(mistaken=False)
+    with pytest.raises(AssertionError, match="not seen"):
+        drive(mistaken=True)
+
+
 def test_a_change_of_one_member_changes_one_member_of_a_group():
     disks = [f"d{n}" for n in range(10)]
     for program in PROGRAMS:
