Count a machine's lost disk as dropped when its new one takes its place

What callers saw: a 404 was possible for a turn that a dropped keeper still had. A turn is at x and y, y is down and is dropped; before others have copied the turn, x loses its disk.

Cause: the former disk of an instance left the view without a trace when the new one became active. Only y counted as dropped, so the view passed for whole with one tolerated loss.

Evidence: test_a_lost_disk_counts_beside_a_dropped_keeper failed before (the view was whole). It plays the views alone; no run of a whole deployment showed the 404.

Changed check: test_an_instance_with_a_new_disk_takes_the_place_of_its_former_one asked that nothing be dropped, which is the fault. It asks for exactly the former disk now, and a new test that a disk which was lost while it joined is not counted.

Ruled out: charges. GroupMemory already counts disks that went since the last completion.

Why this works: what is lost counts the same whether the machine is gone or only its disk. The price: after more lost disks than tolerated within 180 s, one after the other, a turn that never was gets 503 instead of 404 for up to 180 s, as it does after as many dropped keepers.

--- a/egretford/policy/views.py
+++ b/egretford/policy/views.py
@@ -38,8 +38,8 @@
     """The keepers under one number; higher numbers replace lower ones.
 
     `generation` counts the changes of the active members.
-    `dropped` lists the disks of members that were removed while they could not be reached:
-    what only they hold may come back with them.
+    `dropped` lists the disks of members that were removed while they could not be reached, or
+    lost their disk: what only they hold may come back with them, or is gone.
     """
 
     number: int = 0
@@ -83,16 +83,17 @@
 def activate_member(view: View, disk: str, unreachable: frozenset[str]) -> View:
     """Return the next view, in which a member that has copied all others counts.
 
-    Its instance's former disk is gone; members that could not be reached are dropped.
+    Its instance's former disk is gone, and dropped like members that could not be reached.
     """
     mine = view.find(disk)
+    former = {m.disk for m in view.holders if m.name == mine.name} - {disk}
     kept = []
     for member in view.members:
         if member.disk == disk:
             kept.append(evolve(member, state=MemberState.ACTIVE))
         elif member.name != mine.name and member.disk not in unreachable:
             kept.append(member)
-    return _advance(view, kept, sorted({*view.dropped, *unreachable} - {disk}))
+    return _advance(view, kept, sorted({*view.dropped, *unreachable, *former} - {disk}))
 
 
 def mark_leaving(view: View, disk: str) -> View:
--- a/tests/entry/test_keepers.py
+++ b/tests/entry/test_keepers.py
@@ -9,7 +9,7 @@
 
 from egretford.entry.keepers import KeepersUnavailableError
 from egretford.keeper.messages import Keep, Kept, NotReady, OutdatedView
-from egretford.policy.views import View
+from egretford.policy.views import View, activate_member, add_member, drop_member
 from tests.entry.fakes import VIEW
 
 KEEP = Keep(None, None)
@@ -38,6 +38,18 @@
     assert not group.is_view_whole() and not group.is_complete
 
 
+# Guards against a 404 for a turn whose copies were at a keeper that was dropped while it was down
+# and on a disk that was lost before others had copied it (LOST).
+async def test_a_lost_disk_counts_beside_a_dropped_keeper(make_group):
+    group, _ = make_group()
+    first, second, _ = VIEW.members
+    emptied = add_member(VIEW, evolve(first, disk="new"))
+    group.learn_view(activate_member(emptied, "new", frozenset()))
+    assert group.is_view_whole()
+    group.learn_view(drop_member(group.view, second.disk))
+    assert not group.is_view_whole()
+
+
 async def test_a_newer_view_is_learnt_and_all_are_asked_again_under_it(make_group):
     newer = evolve(VIEW, number=4)
 
--- a/tests/policy/test_views.py
+++ b/tests/policy/test_views.py
@@ -81,6 +81,13 @@
     assert len(view.active) == 3
     view = activate_member(view, "disk-2", frozenset())
     assert [m.disk for m in view.active] == ["disk-b", "disk-c", "disk-2"]
+    assert view.dropped == ("disk-a",)
+
+
+def test_a_lost_disk_that_never_counted_is_not_among_the_dropped():
+    view = add_member(make_view(["a", "b", "c"]), make_member("d", "disk-1"))
+    view = activate_member(add_member(view, make_member("d", "disk-2")), "disk-2", frozenset())
+    assert [m.disk for m in view.active] == ["disk-a", "disk-b", "disk-c", "disk-2"]
     assert view.dropped == ()
 
 
