End a connection that sends bytes without end beside a body

Callers would see: an answer held until its route's timeout while a broken worker sends trailers, chunk extensions or a chunk size without end, and an entry that grows meanwhile. Cause: only bytes before the first head were counted. The parser hands trailers on as header fields, which were kept without a bound, and tells nothing of extensions. Besides, a connection that had failed (malformed, head too large) stayed open and went on taking bytes until its reader got round to closing it. A trailer that came with its head was taken for a field of the head, too. Evidence: test_endless_bytes_beside_a_body_end_the_connection_at_once, all twelve kinds red before: five were never ended, the others were but went on receiving. Change: whatever is no byte of a body is counted from the request on, by what is received less what the parser hands on as body. Each byte of a body pays for some framing, so that long streams of small chunks go on. A connection that fails closes at once; what it had received whole before may still be read. Trailers are dropped. ResponseTooLargeError tells a peer that sends on from one whose connection ended.

--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -19,8 +19,11 @@
 TCP_USER_TIMEOUT_MILLISECONDS = 3_000
 # Unread response bytes at which reading from the socket pauses.
 HIGH_WATER_BYTES = 262_144
-# A response head beyond this is not a response; workers send some hundred bytes.
-MAX_HEAD_BYTES = 65_536
+# Bytes that are no body (heads, chunk sizes, trailers) beyond this answer no request; workers
+# send some hundred.
+MAX_FRAMING_BYTES = 65_536
+# How many such bytes each byte of a body may bring along; chunks of one byte take five.
+FRAMING_PER_BODY_BYTE = 16
 
 
 class ConnectError(EgretfordError):
@@ -35,6 +38,10 @@
         self.received = received
 
 
+class ResponseTooLargeError(BrokenResponseError):
+    """The peer sent more than a response may hold; it is alive and may send on without end."""
+
+
 @frozen
 class BodyPart:
     """Some bytes of a response body."""
@@ -63,10 +70,16 @@
         self._buffered = 0
         self._waiter: asyncio.Future[None] | None = None
         self._failure: str | None = None
+        self._failure_type = BrokenResponseError
         self._received = False
         self._expecting = False
         self._closed = False
-        self._begin_parsing()
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = Headers()
+        self._in_body = False
+        self._until_close = False
+        self._framing_bytes = 0
+        self._body_bytes = 0
 
     @classmethod
     async def open(cls, address: str, timeout: float) -> ClientConnection:
@@ -84,13 +97,14 @@
         """Send a whole request; its response may be read from then on."""
         self._expecting = True
         self._received = False
+        self._framing_bytes = 0
         self._transport.write(data)
 
     async def read(self) -> ResponseEvent:
         """Return the next event of the response; raises BrokenResponseError."""
         while not self._events:
             if self._failure is not None:
-                raise BrokenResponseError(
+                raise self._failure_type(
                     f"{self.address}: {self._failure}", received=self._received
                 )
             self._waiter = asyncio.get_running_loop().create_future()
@@ -137,21 +151,19 @@
         if self._failure is not None:
             return
         if not self._expecting:
-            self.reusable = False
             self._fail("bytes that belong to no request")
             self.close()
             return
         self._received = True
-        self._head_bytes += len(data)
+        body_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.reusable = False
             self._fail(f"malformed response: {error}")
+            self.close()
             return
-        if not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
-            self._fail("the response head is too large")
-        if self._buffered > HIGH_WATER_BYTES:
+        self._count_framing(len(data), self._body_bytes - body_before)
+        if self._buffered > HIGH_WATER_BYTES and not self._closed:
             self._transport.pause_reading()
         self._wake()
 
@@ -171,20 +183,14 @@
 
     # httptools callbacks
 
-    def _begin_parsing(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers = Headers()
-        self._in_body = False
-        self._until_close = False
-        self._head_bytes = 0
-
     def on_message_begin(self) -> None:
         """Start a response."""
         self._headers = Headers()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header field."""
-        self._headers.add(name, value)
+        """Take a header field; trailers come this way too, and count for nothing."""
+        if not self._in_body:
+            self._headers.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Emit the head."""
@@ -203,6 +209,7 @@
     def on_body(self, data: bytes) -> None:
         """Emit a part of the body."""
         self._buffered += len(data)
+        self._body_bytes += len(data)
         self._events.append(BodyPart(bytes(data)))
 
     def on_message_complete(self) -> None:
@@ -210,12 +217,23 @@
         if self._parser.get_status_code() < 200:
             return
         self._in_body = False
-        self._head_bytes = 0
         self._events.append(BodyEnd())
 
-    def _fail(self, reason: str) -> None:
+    def _count_framing(self, received: int, body: int) -> None:
+        """Count bytes that were no body; the parser tells of some of them only, or of none."""
+        paid = body * (1 + FRAMING_PER_BODY_BYTE)
+        self._framing_bytes = max(0, self._framing_bytes + received - paid)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            reason = f"over {MAX_FRAMING_BYTES} bytes that are no body"
+            self._fail(reason, ResponseTooLargeError)
+            self.close()
+
+    def _fail(
+        self, reason: str, failure_type: type[BrokenResponseError] = BrokenResponseError
+    ) -> None:
         if self._failure is None:
             self._failure = reason
+            self._failure_type = failure_type
         self._wake()
 
     def _wake(self) -> None:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -10,6 +10,7 @@
 import pytest
 
 from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError, read_whole
+from tests.endless import bound_memory, run_endless
 
 
 async def answer_with(data: bytes, *, reset: bool = False, stay: bool = False):
@@ -101,3 +102,55 @@
         await asyncio.wait_for(connection.read(), 0.05)
     connection.close()
     server.close()
+
+
+async def send_to(server) -> ClientConnection:
+    connection = await ClientConnection.open(server.address, 1.0)
+    connection.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    return connection
+
+
+async def read_on(connection) -> None:
+    while True:
+        await connection.read()
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+NOT_IN_A_BODY = {
+    "no response": (b"", b"nonsense"),
+    "blank lines": (b"", b"\r\n"),
+    "status line": (b"HTTP/1.1 200 ", b"O"),
+    "header field": (b"HTTP/1.1 200 OK\r\nX: ", b"x"),
+    "header list": (b"HTTP/1.1 200 OK\r\n", b"X: x\r\n"),
+    "informational responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"2;a=", b"x"),
+    "chunk extensions": (CHUNKED, b"1;" + b"x" * 4_000 + b"\r\nx\r\n"),
+    "trailer field": (CHUNKED + b"0\r\nX: ", b"x"),
+    "trailer list": (CHUNKED + b"0\r\n", b"X: x\r\n"),
+    "after a response": (WHOLE, b"nonsense"),
+}
+
+
+# Guards against a peer that is read for ever, and kept in memory, since no response ever ends.
+@pytest.mark.parametrize("kind", NOT_IN_A_BODY)
+async def test_endless_bytes_beside_a_body_end_the_connection_at_once(kind):
+    async with run_endless(*NOT_IN_A_BODY[kind]) as server:
+        connection = await send_to(server)
+        with bound_memory(8_000_000), pytest.raises(BrokenResponseError):
+            await asyncio.wait_for(read_on(connection), 2.0)
+        # The reader has not closed anything: the connection itself stops taking bytes.
+        await server.wait_cut()
+        assert not connection.is_usable(0.0)
+
+
+# Guards against a healthy response that is refused for its framing.
+async def test_a_body_in_small_chunks_is_read_whole():
+    body = b"x" * 100_000
+    chunks = b"1\r\nx\r\n" * len(body)
+    async with run_endless(CHUNKED + chunks + b"0\r\n\r\n", b"") as server:
+        connection = await send_to(server)
+        _, received = await asyncio.wait_for(read_whole(connection, len(body)), 2.0)
+        assert received == body
+        connection.close()
