Count what unread events of a response take, not their body bytes alone

Callers would see: an entry that grows by tens of MB for each answer that waits for a slow caller, or for keepers, while its worker sends tiny chunks or small responses. Cause: reading paused at 256 KiB of unread body bytes, but each event takes some hundred bytes of its own, and heads and ends counted for nothing. Change: an event counts as its body bytes and 128 more.

--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -19,6 +19,8 @@
 TCP_USER_TIMEOUT_MILLISECONDS = 3_000
 # Unread response bytes at which reading from the socket pauses.
 HIGH_WATER_BYTES = 262_144
+# What an unread event takes beside its body bytes, about; a flood of small ones adds up.
+EVENT_BYTES = 128
 # Bytes that are no body (heads, chunk sizes, trailers) beyond this answer no request; workers
 # send some hundred.
 MAX_FRAMING_BYTES = 65_536
@@ -113,10 +115,9 @@
             finally:
                 self._waiter = None
         event = self._events.popleft()
-        if isinstance(event, BodyPart):
-            self._buffered -= len(event.data)
-            if self._buffered < HIGH_WATER_BYTES and not self._closed:
-                self._transport.resume_reading()
+        self._buffered -= _measure(event)
+        if self._buffered < HIGH_WATER_BYTES and not self._closed:
+            self._transport.resume_reading()
         return event
 
     def finish(self, now: float) -> None:
@@ -170,7 +171,7 @@
     def eof_received(self) -> bool | None:
         """End a response without a length, or note that one was cut."""
         if self._in_body and self._until_close:
-            self._events.append(BodyEnd())
+            self._emit(BodyEnd())
             self._in_body = False
         self.reusable = False
         self._fail("the connection was closed")
@@ -204,20 +205,23 @@
         self._in_body = True
         if self._until_close or not self._parser.should_keep_alive():
             self.reusable = False
-        self._events.append(ResponseHead(status, headers))
+        self._emit(ResponseHead(status, headers))
 
     def on_body(self, data: bytes) -> None:
         """Emit a part of the body."""
-        self._buffered += len(data)
         self._body_bytes += len(data)
-        self._events.append(BodyPart(bytes(data)))
+        self._emit(BodyPart(bytes(data)))
 
     def on_message_complete(self) -> None:
         """Emit the end, unless the message was only informational."""
         if self._parser.get_status_code() < 200:
             return
         self._in_body = False
-        self._events.append(BodyEnd())
+        self._emit(BodyEnd())
+
+    def _emit(self, event: ResponseEvent) -> None:
+        self._buffered += _measure(event)
+        self._events.append(event)
 
     def _count_framing(self, received: int, body: int) -> None:
         """Count bytes that were no body; the parser tells of some of them only, or of none."""
@@ -241,6 +245,10 @@
             self._waiter.set_result(None)
 
 
+def _measure(event: ResponseEvent) -> int:
+    return EVENT_BYTES + len(event.data) if isinstance(event, BodyPart) else EVENT_BYTES
+
+
 def set_socket_options(transport: asyncio.Transport) -> None:
     """Send small writes at once, and give up on peers that acknowledge nothing."""
     sock = transport.get_extra_info("socket")
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -10,7 +10,7 @@
 import pytest
 
 from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError, read_whole
-from tests.endless import bound_memory, run_endless
+from tests.endless import FLOOD_BYTES, bound_memory, run_endless
 
 
 async def answer_with(data: bytes, *, reset: bool = False, stay: bool = False):
@@ -154,3 +154,25 @@
         _, received = await asyncio.wait_for(read_whole(connection, len(body)), 2.0)
         assert received == body
         connection.close()
+
+
+# Guards against memory that grows while the reader of a response waits for something else.
+@pytest.mark.parametrize(
+    ("begin", "unit"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 1_000),
+        (CHUNKED, b"1\r\nx\r\n"),
+        (WHOLE, b"HTTP/1.1 204 No Content\r\n\r\n"),
+        (WHOLE, b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore"),
+        (WHOLE, b"HTTP/1.1 204 No Content\r\nX: " + b"x" * 30_000 + b"\r\n\r\n"),
+    ],
+    ids=["body", "small chunks", "empty responses", "small responses", "large heads"],
+)
+async def test_unread_events_pause_the_connection(begin, unit):
+    async with run_endless(begin, unit) as server:
+        connection = await send_to(server)
+        with bound_memory(4_000_000):
+            await asyncio.sleep(2.0)
+        assert server.sent < FLOOD_BYTES
+        connection.close()
+        await server.wait_cut()
