Do not reuse a connection on which another response has begun

Callers would see: the status and fields of a faulty worker's stray bytes on the answer to the next request. Cause: finish() looked for whole events that were left over; a response whose head was still incomplete left none, and its bytes were joined with the next response. That an idle connection ends at the first stray byte held before and is tested now. Change: a response that has begun and not ended makes the connection unfit, too.

--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -78,6 +78,7 @@
         self._closed = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers = Headers()
+        self._begun = False
         self._in_body = False
         self._until_close = False
         self._framing_bytes = 0
@@ -124,7 +125,7 @@
         """Note that the response to the last request was read to its end."""
         self._expecting = False
         self.idle_since = now
-        if self._events:
+        if self._events or self._begun:
             self.reusable = False
 
     def is_usable(self, now: float) -> bool:
@@ -186,6 +187,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response."""
+        self._begun = True
         self._headers = Headers()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -216,6 +218,7 @@
         """Emit the end, unless the message was only informational."""
         if self._parser.get_status_code() < 200:
             return
+        self._begun = False
         self._in_body = False
         self._emit(BodyEnd())
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -176,3 +176,25 @@
         assert server.sent < FLOOD_BYTES
         connection.close()
         await server.wait_cut()
+
+
+# Guards against the rest of a response that is taken for the start of the next one.
+@pytest.mark.parametrize(
+    "rest", [b"H", b"HTTP/1.1 200 OK\r\nX: ", b"HTTP/1.1 100 Continue\r\n\r\n"]
+)
+async def test_a_begun_response_that_belongs_to_no_request_ends_the_connection(rest):
+    connection, _ = await ask(WHOLE + rest, stay=True)
+    assert not connection.is_usable(0.0)
+    connection.close()
+
+
+# Guards against an idle connection that goes on taking bytes.
+async def test_endless_bytes_on_an_idle_connection_end_it():
+    async with run_endless(WHOLE, b"") as server:
+        connection = await send_to(server)
+        await asyncio.wait_for(read_whole(connection, 1_000), 1.0)
+        connection.finish(0.0)
+        assert connection.is_usable(0.0)
+        server.flood_idle(b"x" * 1_000)
+        await server.wait_cut()
+        assert not connection.is_usable(0.0)
