--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,35 @@
+"""The client of the metadata store, towards one that sends bytes without end."""
+
+from __future__ import annotations
+
+import pytest
+
+from egretford.clock import SystemClock
+from egretford.errors import StoreUnavailableError
+from egretford.platform.store import MetadataStore
+from tests.endless import bound_memory, run_endless
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "nonsense": (b"", b"nonsense"),
+    "header list": (OK, b"X: x\r\n"),
+    "informational responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "length": (OK + b"Content-Length: 999999999999\r\n\r\n", b"x"),
+    "until close": (OK + b"\r\n", b"x"),
+    "chunks": (CHUNKED, b"40\r\n" + b"x" * 64 + b"\r\n"),
+    "chunk extension": (CHUNKED + b"2;a=", b"x"),
+    "trailer list": (CHUNKED + b"0\r\n", b"X: x\r\n"),
+}
+
+
+# Guards against a store that fills the memory of its clients, or holds their calls.
+@pytest.mark.parametrize("kind", ENDLESS)
+async def test_an_endless_answer_is_no_answer_and_ends_its_connection(kind):
+    async with run_endless(*ENDLESS[kind]) as server:
+        store = MetadataStore(server.address, SystemClock())
+        with bound_memory(24_000_000), pytest.raises(StoreUnavailableError):
+            await store.get("config", "main")
+        await server.wait_cut()
+        assert len(server.requests) == 1
+        await store.close()
