Bound a worker's whole answers, and what is skipped before them

Callers would see: calls held until their route's timeout by a worker whose body, or whose responses to earlier requests, do not end; and an entry that keeps all of such a body in memory meanwhile. A repeatable call never got to a healthy worker. Cause: a whole answer was collected without a limit (MAX_ANSWER_BYTES was defined and not used), and responses with another request's id were skipped without one. Change: 8 MiB for a whole answer; 8 MiB and 8 responses for what is skipped. Beyond them the connection closes and the attempt counts as lost: the call is repeated where the route allows it, and else 502. Such a worker has not crashed, so that the request is not blamed for it and quarantined. Left: chunks of one byte keep the parser busy for seconds before they reach 8 MiB; the attempt then ends at the deadline.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -28,6 +28,8 @@
     BrokenResponseError,
     ClientConnection,
     ConnectError,
+    ResponseTooLargeError,
+    read_body,
 )
 from egretford.http.messages import Headers
 from egretford.http.server import Responder
@@ -49,7 +51,12 @@
 MAX_REFUSALS = 4
 # A worker needs some time to answer; with less left a send would be no real offer.
 MIN_SECONDS_LEFT = 0.02
+# An answer that is held whole, or all that is skipped before one, may take this much memory;
+# workers send some kilobytes.
 MAX_ANSWER_BYTES = 8_388_608
+# Responses to earlier requests that may come before one's own; a connection that is reused has
+# brought all its responses, so that one is rare already.
+MAX_EARLIER_RESPONSES = 8
 
 
 @define
@@ -250,7 +257,9 @@
             yield connection
         except BrokenResponseError as error:
             connection.close()
-            raise UpstreamLostError(str(error), crashed=True) from error
+            # A worker that sends on has not crashed.
+            crashed = not isinstance(error, ResponseTooLargeError)
+            raise UpstreamLostError(str(error), crashed=crashed) from error
         except BaseException:
             connection.close()
             raise
@@ -264,20 +273,10 @@
     async def _read_reply(
         self, job: Forwarding, tracked: TrackedWorker, connection: ClientConnection
     ) -> WorkerReply:
-        """Read the head of the response to this request, skipping those to earlier ones."""
+        """Read the head of the response to this request, and judge by it."""
         try:
             async with asyncio.timeout(self._limit_silence(job)):
-                while True:
-                    reply = decode_reply(await connection.read())
-                    if reply.request_id in (None, job.request.id):
-                        break
-                    self._log.info(
-                        "skipped a response to an earlier request",
-                        request=job.request.id,
-                        belongs_to=reply.request_id,
-                    )
-                    while not isinstance(await connection.read(), BodyEnd):
-                        pass
+                reply = await self._find_reply(job, connection)
         except TimeoutError as error:
             raise UpstreamLostError("no response head in time", crashed=False) from error
         if reply.load is not None:
@@ -292,6 +291,23 @@
         self._check_success(job, reply)
         return reply
 
+    async def _find_reply(self, job: Forwarding, connection: ClientConnection) -> WorkerReply:
+        """Read the head of the response to this request, skipping those to earlier ones."""
+        bytes_left = MAX_ANSWER_BYTES
+        for _ in range(MAX_EARLIER_RESPONSES + 1):
+            reply = decode_reply(await connection.read())
+            if reply.request_id in (None, job.request.id):
+                return reply
+            self._log.info(
+                "skipped a response to an earlier request",
+                request=job.request.id,
+                belongs_to=reply.request_id,
+            )
+            bytes_left -= len(await read_body(connection, bytes_left))
+        raise UpstreamLostError(
+            f"over {MAX_EARLIER_RESPONSES} responses to earlier requests", crashed=False
+        )
+
     def _limit_silence(self, job: Forwarding) -> float | None:
         if job.route.repeatable and job.history.may_add_worker:
             return SAFE_ATTEMPT_SECONDS
@@ -308,14 +324,11 @@
     async def _pass_whole(
         self, job: Forwarding, connection: ClientConnection, reply: WorkerReply
     ) -> None:
-        parts: list[bytes] = []
-        while not isinstance(event := await connection.read(), BodyEnd):
-            if isinstance(event, BodyPart):
-                parts.append(event.data)
+        body = await read_body(connection, MAX_ANSWER_BYTES)
         failed_by_worker = reply.status >= 500
         if failed_by_worker and job.route.repeatable and job.history.may_add_worker:
             raise UpstreamLostError(f"status {reply.status}", crashed=False)
-        job.responder.send_whole(reply.status, Headers(list(reply.fields)), b"".join(parts))
+        job.responder.send_whole(reply.status, Headers(list(reply.fields)), body)
 
     async def _pass_stream(
         self,
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -275,14 +275,21 @@
 async def read_whole(connection: ClientConnection, limit: int) -> tuple[ResponseHead, bytes]:
     """Read one response of at most `limit` body bytes; raises BrokenResponseError."""
     head = await connection.read()
-    parts: list[bytes] = []
-    size = 0
+    return head, await read_body(connection, limit)
+
+
+async def read_body(connection: ClientConnection, limit: int) -> bytes:
+    """Read the rest of a response; beyond `limit` bytes the connection is closed.
+
+    Raises BrokenResponseError.
+    """
+    body = bytearray()
     while not isinstance(event := await connection.read(), BodyEnd):
         if isinstance(event, BodyPart):
-            size += len(event.data)
-            if size > limit:
-                raise BrokenResponseError(
-                    f"{connection.address}: the body exceeds {limit} bytes", received=True
-                )
-            parts.append(event.data)
-    return head, b"".join(parts)
+            body += event.data
+        if len(body) > limit:
+            connection.close()
+            raise ResponseTooLargeError(
+                f"{connection.address}: the body exceeds {limit} bytes", received=True
+            )
+    return bytes(body)
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -29,7 +29,7 @@
     cut: asyncio.Event = Factory(asyncio.Event)
     _server: asyncio.Server | None = None
     _writer: asyncio.StreamWriter | None = None
-    _flooding: asyncio.Task[None] | None = None
+    _tasks: set[asyncio.Task[None]] = Factory(set)
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -38,18 +38,24 @@
     def address(self) -> str:
         return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
-    def close(self) -> None:
+    async def close(self) -> None:
         self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def wait_cut(self) -> None:
         await asyncio.wait_for(self.cut.wait(), 1.0)
 
     def flood_idle(self, unit: bytes) -> None:
         """Send without being asked, on the connection of the last request."""
-        self._flooding = asyncio.create_task(self._flood(self._writer, unit))
+        self._tasks.add(asyncio.create_task(self._flood(self._writer, unit)))
 
     async def _serve(self, reader, writer) -> None:
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        self._tasks.add(asyncio.current_task())
+        # The streams of asyncio log a traceback for a handler that ends as cancelled.
+        ends = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ends):
             while True:
                 request = await reader.readuntil(b"\r\n\r\n")
                 self._writer = writer
@@ -74,8 +80,10 @@
 async def run_endless(begin: bytes, unit: bytes, pause: float = 0.0):
     server = EndlessServer(lambda _: (begin, unit), pause)
     await server.start()
-    yield server
-    server.close()
+    try:
+        yield server
+    finally:
+        await server.close()
 
 
 @contextlib.contextmanager
