Send a repeatable call elsewhere while its answer's body trickles

Callers would see: a repeatable call that ends with 504 at its timeout, though other workers are free, since one worker sent a head and then a byte now and then. Cause: only the wait for the head was limited. Change: the body has the same limit as the head, on the same condition: the route allows one more worker. The last worker may take all the time that is left.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -41,8 +41,9 @@
 # for others it must have been in use this lately.
 UNSAFE_MAX_IDLE_SECONDS = 0.5
 MAX_IDLE_SECONDS = 10.0
-# A repeatable call without an answer after this long is sent to another worker; the longest
-# of them takes some tens of milliseconds on an idle worker.
+# A repeatable call without a response head after this long, or without the whole body after
+# as long again, is sent to another worker; the longest of them takes some tens of
+# milliseconds on an idle worker.
 SAFE_ATTEMPT_SECONDS = 0.3
 # A resumable stream that is silent for this long is asked for again on a new connection; a
 # pause beyond 0.3 s is late already.
@@ -324,7 +325,11 @@
     async def _pass_whole(
         self, job: Forwarding, connection: ClientConnection, reply: WorkerReply
     ) -> None:
-        body = await read_body(connection, MAX_ANSWER_BYTES)
+        try:
+            async with asyncio.timeout(self._limit_silence(job)):
+                body = await read_body(connection, MAX_ANSWER_BYTES)
+        except TimeoutError as error:
+            raise UpstreamLostError("no whole body in time", crashed=False) from error
         failed_by_worker = reply.status >= 500
         if failed_by_worker and job.route.repeatable and job.history.may_add_worker:
             raise UpstreamLostError(f"status {reply.status}", crashed=False)
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -131,6 +131,18 @@
     await entry.bad.wait_cut()
 
 
+# Guards against a repeatable call that is held by a body that trickles without end.
+@pytest.mark.parametrize("kind", BODIES)
+async def test_a_repeatable_call_does_not_wait_for_a_body_that_trickles(entry, kind):
+    entry.bad.answer = answer_as(*BODIES[kind])
+    entry.bad.pause = 0.1
+    entry.learn("booking")
+    answer = await entry.ask("/ping/1")
+    assert (answer.status, answer.body) == (200, b"done r1")
+    assert len(entry.bad.requests) == 1
+    await entry.bad.wait_cut()
+
+
 # Guards against a call that is sent twice, or said not to have run, after bytes without end.
 @pytest.mark.parametrize("kind", NO_ANSWER | BODIES)
 async def test_a_call_that_may_have_run_fails_and_is_not_sent_again(entry, kind):
