Count as events of a stream only what is one

Callers would see: a stream that begins and never shows an event, while its worker sends comments, blank lines or one event that never ends; a resumable one is not taken to another worker. With a token budget each blank line was charged as an event, and on a route that keeps turns each added a line to the kept text. An entry was busy for seconds with one such stream, as each piece was searched from its start. The splitter copied and searched all it held for each piece and each event. The limit on silence counts from the last event. The splitter searches each byte once. What follows the last event, a line break say, is passed on now and was dropped.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -45,7 +45,7 @@
 # as long again, is sent to another worker; the longest of them takes some tens of
 # milliseconds on an idle worker.
 SAFE_ATTEMPT_SECONDS = 0.3
-# A resumable stream that is silent for this long is asked for again on a new connection; a
+# A resumable stream without an event for this long is asked for again on a new connection; a
 # pause beyond 0.3 s is late already.
 STREAM_SILENCE_SECONDS = 0.6
 # Refusals by workers after which a request is refused rather than offered once more.
@@ -343,22 +343,32 @@
         reply: WorkerReply,
     ) -> None:
         splitter = EventSplitter()
-        while not isinstance(part := await self._read_part(job, connection), BodyEnd):
+        heard_at = self._clock.monotonic()
+        while not isinstance(part := await self._read_part(job, connection, heard_at), BodyEnd):
             try:
                 events = splitter.feed(part.data)
             except EventError as error:
                 raise UpstreamLostError(str(error), crashed=False) from error
             for event in events:
                 await self._pass_event(job, reply, event)
+            if events:
+                heard_at = self._clock.monotonic()
         if splitter.has_rest:
             raise UpstreamLostError("the stream ended inside an event", crashed=True)
         if job.before_end is not None:
             await job.before_end()
         self._begin_stream(job, reply)
+        if rest := splitter.take_rest():
+            await job.responder.write(rest)
         job.responder.finish_stream()
 
-    async def _read_part(self, job: Forwarding, connection: ClientConnection) -> BodyPart | BodyEnd:
-        limit = STREAM_SILENCE_SECONDS if job.route.resumable else None
+    async def _read_part(
+        self, job: Forwarding, connection: ClientConnection, heard_at: float
+    ) -> BodyPart | BodyEnd:
+        """Read on; bytes that make no event since `heard_at` do not count as heard."""
+        limit = None
+        if job.route.resumable:
+            limit = heard_at + STREAM_SILENCE_SECONDS - self._clock.monotonic()
         try:
             async with asyncio.timeout(limit):
                 return await connection.read()
--- a/tests/entry/test_events.py
+++ b/tests/entry/test_events.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from egretford.entry.events import EventError, EventSplitter, parse_event
+from egretford.entry.events import MAX_EVENT_BYTES, EventError, EventSplitter, parse_event
 
 
 @given(st.lists(st.integers(0, 10**6), max_size=10), st.data())
@@ -35,3 +37,32 @@
 def test_an_id_that_is_no_number_is_an_error():
     with pytest.raises(EventError):
         parse_event(b"id: x1\ndata: a\n\n")
+
+
+# Guards against comments and blank lines that count as events, in a budget or a kept turn.
+@pytest.mark.parametrize("nothing", [b": a comment\n\n", b"\n\n", b"\r\n\r\n", b"retry: 3\n\n"])
+def test_what_is_no_event_goes_with_the_next_one(nothing):
+    splitter = EventSplitter()
+    assert splitter.feed(nothing * 3) == []
+    assert not splitter.has_rest
+    (event,) = splitter.feed(b"id: 1\ndata: a\n\n" + nothing)
+    assert (event.raw, event.number) == (nothing * 3 + b"id: 1\ndata: a\n\n", 1)
+    assert splitter.take_rest() == nothing
+
+
+# Guards against memory that a stream without events fills, and a process that it holds up.
+@pytest.mark.parametrize("unit", [b": a comment\n\n", b"\n", b"x", b"data: x\n"])
+def test_a_stream_without_an_event_ends_at_a_limit(unit):
+    splitter = EventSplitter()
+    began = time.process_time()
+    with pytest.raises(EventError):
+        for _ in range(2 * MAX_EVENT_BYTES // len(unit)):
+            assert splitter.feed(unit) == []
+    assert time.process_time() - began < 10.0
+
+
+# Guards against events that arrive together and take longer the more they are.
+def test_many_events_at_once_are_cut_in_linear_time():
+    began = time.process_time()
+    assert len(EventSplitter().feed(b"data: x\n\n" * 200_000)) == 200_000
+    assert time.process_time() - began < 5.0
