Break off a stream that is too long to be kept

Callers would see: nothing, but an entry that grows with a worker's endless events until the route's timeout; and a finished turn that no keeper's frame could hold. Cause: the text that is kept was collected without a limit, also on routes that keep nothing. Evidence: test_a_kept_stream_that_never_ends_is_broken_off_and_takes_bounded_memory, red before: only the deadline of 3 s ended the stream.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -64,9 +64,10 @@
 class Forwarding:
     """One request on its way; `deadline` in monotonic seconds.
 
-    `before_end` is awaited when a stream is complete, before its end is passed on. `sent`
-    holds while an attempt is at a worker, `lost` counts those that ended without its word.
-    `repeat_at` is the worker that runs a request whose answer was lost.
+    `before_end` is awaited when a stream is complete, before its end is passed on; only where
+    it is set is the `output` collected for it. `sent` holds while an attempt is at a worker,
+    `lost` counts those that ended without its word. `repeat_at` is the worker that runs a
+    request whose answer was lost.
     """
 
     request: CallerRequest
@@ -85,7 +86,7 @@
     repeat_at: TrackedWorker | None = None
     events: int = 0
     last_event: int | None = None
-    output: list[bytes] = Factory(list)
+    output: bytearray = Factory(bytearray)
     worker: str = ""
     history: AttemptHistory = field(init=False)
 
@@ -382,7 +383,10 @@
         self._begin_stream(job, reply)
         job.events += 1
         job.last_event = event.number if event.number is not None else job.last_event
-        job.output.append(event.data + b"\n")
+        if job.before_end is not None:
+            job.output += event.data + b"\n"
+            if len(job.output) > MAX_ANSWER_BYTES:
+                raise UpstreamLostError("a stream too long to be kept", crashed=False)
         await job.responder.write(event.raw)
 
     def _begin_stream(self, job: Forwarding, reply: WorkerReply) -> None:
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -189,7 +189,7 @@
             raise job.refuse(ErrorKind.TIMEOUT, message) from None
         if route.keeps_turns:
             job.body = admission.history + request.http.body
-            job.before_end = lambda: admission.keep(b"".join(job.output), job.events)
+            job.before_end = lambda: admission.keep(bytes(job.output), job.events)
         return admission
 
     def _refuse(
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import re
+import time
 
 import pytest
 from attrs import define
@@ -178,6 +180,26 @@
     await entry.bad.wait_cut()
 
 
+# Guards against an answer that looks complete though its worker never ended it.
+async def test_a_kept_stream_that_never_ends_is_broken_off_and_takes_bounded_memory(entry):
+    entry.bad.answer = answer_as(UNTIL_CLOSE, b"data: " + b"x" * 1_000 + b"\n\n")
+    entry.learn("models")
+    host, port = "127.0.0.1", entry.server.port
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(
+        b"POST /chat/1 HTTP/1.1\r\nHost: farm.example\r\nRequest-Id: r1\r\n"
+        b"Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+    )
+    last, began = b"", time.monotonic()
+    with bound_memory(40_000_000):
+        while data := await reader.read(65_536):
+            last = (last + data)[-5:]
+    assert time.monotonic() - began < 2.5
+    assert last != b"0\r\n\r\n"
+    writer.close()
+    await entry.bad.wait_cut()
+
+
 # Guards against a worker that is blamed on the request it got, which is then refused for good.
 async def test_a_request_is_not_quarantined_for_bytes_without_end(entry):
     entry.bad.answer = answer_as(*BODIES["until close"])
