--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -25,6 +25,8 @@
     BrokenResponseError,
     ClientConnection,
     ConnectError,
+    ResponseTooLargeError,
+    read_body,
 )
 from egretford.http.messages import Headers
 from egretford.platform.wire import decode_reply, encode_request
@@ -34,14 +36,20 @@
 # for others it must have been in use this lately.
 UNSAFE_MAX_IDLE_SECONDS = 0.5
 MAX_IDLE_SECONDS = 10.0
-# A repeatable call without an answer after this long is sent to another worker; the longest
-# of them takes some tens of milliseconds on an idle worker.
+# A repeatable call without a response head after this long, or without the whole body after
+# as long again, is sent to another worker; the longest of them takes some tens of
+# milliseconds on an idle worker.
 SAFE_ATTEMPT_SECONDS = 0.3
 # Refusals by workers after which a request is refused rather than offered once more.
 MAX_REFUSALS = 4
 # A worker needs some time to answer; with less left a send would be no real offer.
 MIN_SECONDS_LEFT = 0.02
+# An answer that is held whole, or all that is skipped before one, may take this much memory;
+# workers send some kilobytes.
 MAX_ANSWER_BYTES = 8_388_608
+# Responses to earlier requests that may come before one's own; a connection that is reused has
+# brought all its responses, so that one is rare already.
+MAX_EARLIER_RESPONSES = 8
 
 
 class Forwarder:
@@ -192,7 +200,7 @@
                 reply = await self._read_reply(job, tracked, connection)
                 is_stream = job.route.kind is RouteKind.STREAMING and reply.succeeded
                 if is_stream:
-                    await self._pass_events(job, tracked, connection, reply)
+                    rest = await self._pass_events(job, tracked, connection, reply)
                 else:
                     await self._pass_whole(job, connection, reply)
         finally:
@@ -200,7 +208,7 @@
         tracked.note_success(self._clock.monotonic() - started)
         if is_stream:
             # The worker is free by now; what holds up the end is not its load.
-            await self._finish_stream(job, reply)
+            await self._finish_stream(job, reply, rest)
 
     @asynccontextmanager
     async def _send(
@@ -229,7 +237,9 @@
             yield connection
         except BrokenResponseError as error:
             connection.close()
-            raise UpstreamLostError(str(error), crashed=True) from error
+            # A worker that sends on has not crashed.
+            crashed = not isinstance(error, ResponseTooLargeError)
+            raise UpstreamLostError(str(error), crashed=crashed) from error
         except BaseException:
             connection.close()
             raise
@@ -243,20 +253,10 @@
     async def _read_reply(
         self, job: Forwarding, tracked: TrackedWorker, connection: ClientConnection
     ) -> WorkerReply:
-        """Read the head of the response to this request, skipping those to earlier ones."""
+        """Read the head of the response to this request, and judge by it."""
         try:
             async with asyncio.timeout(self._limit_silence(job)):
-                while True:
-                    reply = decode_reply(await connection.read())
-                    if reply.request_id in (None, job.request.id):
-                        break
-                    self._log.info(
-                        "skipped a response to an earlier request",
-                        request=job.request.id,
-                        belongs_to=reply.request_id,
-                    )
-                    while not isinstance(await connection.read(), BodyEnd):
-                        pass
+                reply = await self._find_reply(job, connection)
         except TimeoutError as error:
             raise UpstreamLostError("no response head in time", crashed=False) from error
         if reply.load is not None:
@@ -271,6 +271,23 @@
         self._check_success(job, reply)
         return reply
 
+    async def _find_reply(self, job: Forwarding, connection: ClientConnection) -> WorkerReply:
+        """Read the head of the response to this request, skipping those to earlier ones."""
+        bytes_left = MAX_ANSWER_BYTES
+        for _ in range(MAX_EARLIER_RESPONSES + 1):
+            reply = decode_reply(await connection.read())
+            if reply.request_id in (None, job.request.id):
+                return reply
+            self._log.info(
+                "skipped a response to an earlier request",
+                request=job.request.id,
+                belongs_to=reply.request_id,
+            )
+            bytes_left -= len(await read_body(connection, bytes_left))
+        raise UpstreamLostError(
+            f"over {MAX_EARLIER_RESPONSES} responses to earlier requests", crashed=False
+        )
+
     def _limit_silence(self, job: Forwarding) -> float | None:
         if job.route.repeatable and job.history.may_add_worker:
             return SAFE_ATTEMPT_SECONDS
@@ -287,14 +304,15 @@
     async def _pass_whole(
         self, job: Forwarding, connection: ClientConnection, reply: WorkerReply
     ) -> None:
-        parts: list[bytes] = []
-        while not isinstance(event := await connection.read(), BodyEnd):
-            if isinstance(event, BodyPart):
-                parts.append(event.data)
+        try:
+            async with asyncio.timeout(self._limit_silence(job)):
+                body = await read_body(connection, MAX_ANSWER_BYTES)
+        except TimeoutError as error:
+            raise UpstreamLostError("no whole body in time", crashed=False) from error
         failed_by_worker = reply.status >= 500
         if failed_by_worker and job.route.repeatable and job.history.may_add_worker:
             raise UpstreamLostError(f"status {reply.status}", crashed=False)
-        job.responder.send_whole(reply.status, Headers(list(reply.fields)), b"".join(parts))
+        job.responder.send_whole(reply.status, Headers(list(reply.fields)), body)
 
     async def _pass_events(
         self,
@@ -302,28 +320,44 @@
         tracked: TrackedWorker,
         connection: ClientConnection,
         reply: WorkerReply,
-    ) -> None:
+    ) -> bytes:
+        """Pass on all events; returns what comes after the last one, a line break say."""
         splitter = EventSplitter()
-        while not isinstance(part := await self._read_part(job, tracked, connection), BodyEnd):
+        heard_at = self._clock.monotonic()
+        while not isinstance(
+            part := await self._read_part(job, tracked, connection, heard_at), BodyEnd
+        ):
             try:
                 events = splitter.feed(part.data)
             except EventError as error:
                 raise UpstreamLostError(str(error), crashed=False) from error
             for event in events:
                 await self._pass_event(job, reply, event)
+            if events:
+                heard_at = self._clock.monotonic()
         if splitter.has_rest:
             raise UpstreamLostError("the stream ended inside an event", crashed=True)
+        return splitter.take_rest()
 
-    async def _finish_stream(self, job: Forwarding, reply: WorkerReply) -> None:
+    async def _finish_stream(self, job: Forwarding, reply: WorkerReply, rest: bytes) -> None:
         if job.before_end is not None:
             await job.before_end()
         self._begin_stream(job, reply)
+        if rest:
+            await job.responder.write(rest)
         job.responder.finish_stream()
 
     async def _read_part(
-        self, job: Forwarding, tracked: TrackedWorker, connection: ClientConnection
+        self,
+        job: Forwarding,
+        tracked: TrackedWorker,
+        connection: ClientConnection,
+        heard_at: float,
     ) -> BodyPart | BodyEnd:
-        limit = job.history.silence_limit if job.route.resumable else None
+        """Read on; bytes that make no event since `heard_at` do not count as heard."""
+        limit = None
+        if job.route.resumable and job.stays_since != heard_at:
+            limit = heard_at + job.history.silence_limit - self._clock.monotonic()
         try:
             async with asyncio.timeout(limit):
                 return await connection.read()
@@ -333,6 +367,7 @@
             if job.history.may_go_on(worker, leaving=tracked.state.leaving, others=others):
                 job.history.note_silence()
                 raise UpstreamLostError("the stream went silent", crashed=True) from error
+        job.stays_since = heard_at
         self._log.info("stays at a silent worker", request=job.request.id, worker=worker)
         return await connection.read()
 
@@ -343,7 +378,10 @@
         self._begin_stream(job, reply)
         job.events += 1
         job.last_event = event.number if event.number is not None else job.last_event
-        job.output.append(event.data + b"\n")
+        if job.before_end is not None:
+            job.output += event.data + b"\n"
+            if len(job.output) > MAX_ANSWER_BYTES:
+                raise UpstreamLostError("a stream too long to be kept", crashed=False)
         await job.responder.write(event.raw)
 
     def _begin_stream(self, job: Forwarding, reply: WorkerReply) -> None:
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -17,10 +17,12 @@
 class Forwarding:
     """One request on its way; `deadline` in monotonic seconds.
 
-    `before_end` is awaited when a stream is complete, before its end is passed on. `sent`
-    holds while an attempt is at a worker, `lost` counts those that ended without its word.
-    `repeat_at` is the worker that runs a request whose answer was lost; `stay_at` is it while
-    it refuses and no other is allowed. `refused_by` are those not to ask until a pause is over.
+    `before_end` is awaited when a stream is complete, before its end is passed on; only where
+    it is set is the `output` collected for it. `sent` holds while an attempt is at a worker,
+    `lost` counts those that ended without its word. `repeat_at` is the worker that runs a
+    request whose answer was lost; `stay_at` is it while it refuses and no other is allowed.
+    `refused_by` are those not to ask until a pause is over. `stays_since` is when a worker was
+    last heard whose silence is borne, as no other may go on.
     """
 
     request: CallerRequest
@@ -39,9 +41,10 @@
     refused_by: set[str] = Factory(set)
     repeat_at: TrackedWorker | None = None
     stay_at: TrackedWorker | None = None
+    stays_since: float | None = None
     events: int = 0
     last_event: int | None = None
-    output: list[bytes] = Factory(list)
+    output: bytearray = Factory(bytearray)
     worker: str = ""
     history: AttemptHistory = field(init=False)
 
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -19,8 +19,13 @@
 TCP_USER_TIMEOUT_MILLISECONDS = 3_000
 # Unread response bytes at which reading from the socket pauses.
 HIGH_WATER_BYTES = 262_144
-# A response head beyond this is not a response; workers send some hundred bytes.
-MAX_HEAD_BYTES = 65_536
+# What an unread event takes beside its body bytes, about; a flood of small ones adds up.
+EVENT_BYTES = 128
+# Bytes that are no body (heads, chunk sizes, trailers) beyond this answer no request; workers
+# send some hundred.
+MAX_FRAMING_BYTES = 65_536
+# How many such bytes each byte of a body may bring along; chunks of one byte take five.
+FRAMING_PER_BODY_BYTE = 16
 
 
 class ConnectError(EgretfordError):
@@ -35,6 +40,10 @@
         self.received = received
 
 
+class ResponseTooLargeError(BrokenResponseError):
+    """The peer sent more than a response may hold; it is alive and may send on without end."""
+
+
 @frozen
 class BodyPart:
     """Some bytes of a response body."""
@@ -63,10 +72,18 @@
         self._buffered = 0
         self._waiter: asyncio.Future[None] | None = None
         self._failure: str | None = None
+        self._failure_type = BrokenResponseError
         self._received = False
         self._expecting = False
         self._closed = False
-        self._begin_parsing()
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = Headers()
+        self._begun = False
+        self._in_body = False
+        self._until_close = False
+        self._framing_bytes = 0
+        self._body_bytes = 0
+        self._chunks: list[bytes] = []
 
     @classmethod
     async def open(cls, address: str, timeout: float) -> ClientConnection:
@@ -84,13 +101,14 @@
         """Send a whole request; its response may be read from then on."""
         self._expecting = True
         self._received = False
+        self._framing_bytes = 0
         self._transport.write(data)
 
     async def read(self) -> ResponseEvent:
         """Return the next event of the response; raises BrokenResponseError."""
         while not self._events:
             if self._failure is not None:
-                raise BrokenResponseError(
+                raise self._failure_type(
                     f"{self.address}: {self._failure}", received=self._received
                 )
             self._waiter = asyncio.get_running_loop().create_future()
@@ -99,17 +117,16 @@
             finally:
                 self._waiter = None
         event = self._events.popleft()
-        if isinstance(event, BodyPart):
-            self._buffered -= len(event.data)
-            if self._buffered < HIGH_WATER_BYTES and not self._closed:
-                self._transport.resume_reading()
+        self._buffered -= _measure(event)
+        if self._buffered < HIGH_WATER_BYTES and not self._closed:
+            self._transport.resume_reading()
         return event
 
     def finish(self, now: float) -> None:
         """Note that the response to the last request was read to its end."""
         self._expecting = False
         self.idle_since = now
-        if self._events:
+        if self._events or self._begun:
             self.reusable = False
 
     def is_usable(self, now: float) -> bool:
@@ -137,28 +154,30 @@
         if self._failure is not None:
             return
         if not self._expecting:
-            self.reusable = False
             self._fail("bytes that belong to no request")
             self.close()
             return
         self._received = True
-        self._head_bytes += len(data)
+        body_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.reusable = False
+            if self._chunks:
+                self._emit_body()
             self._fail(f"malformed response: {error}")
+            self.close()
             return
-        if not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
-            self._fail("the response head is too large")
-        if self._buffered > HIGH_WATER_BYTES:
+        if self._chunks:
+            self._emit_body()
+        self._count_framing(len(data), self._body_bytes - body_before)
+        if self._buffered > HIGH_WATER_BYTES and not self._closed:
             self._transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> bool | None:
         """End a response without a length, or note that one was cut."""
         if self._in_body and self._until_close:
-            self._events.append(BodyEnd())
+            self._emit(BodyEnd())
             self._in_body = False
         self.reusable = False
         self._fail("the connection was closed")
@@ -171,20 +190,15 @@
 
     # httptools callbacks
 
-    def _begin_parsing(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers = Headers()
-        self._in_body = False
-        self._until_close = False
-        self._head_bytes = 0
-
     def on_message_begin(self) -> None:
         """Start a response."""
+        self._begun = True
         self._headers = Headers()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header field."""
-        self._headers.add(name, value)
+        """Take a header field; trailers come this way too, and count for nothing."""
+        if not self._in_body:
+            self._headers.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Emit the head."""
@@ -198,24 +212,46 @@
         self._in_body = True
         if self._until_close or not self._parser.should_keep_alive():
             self.reusable = False
-        self._events.append(ResponseHead(status, headers))
+        self._emit(ResponseHead(status, headers))
 
     def on_body(self, data: bytes) -> None:
-        """Emit a part of the body."""
-        self._buffered += len(data)
-        self._events.append(BodyPart(bytes(data)))
+        """Take a part of the body; what arrives together is one event, whatever its chunks."""
+        self._body_bytes += len(data)
+        self._chunks.append(data)
 
     def on_message_complete(self) -> None:
         """Emit the end, unless the message was only informational."""
         if self._parser.get_status_code() < 200:
             return
+        self._begun = False
         self._in_body = False
-        self._head_bytes = 0
-        self._events.append(BodyEnd())
+        if self._chunks:
+            self._emit_body()
+        self._emit(BodyEnd())
+
+    def _emit_body(self) -> None:
+        self._emit(BodyPart(b"".join(self._chunks)))
+        self._chunks.clear()
+
+    def _emit(self, event: ResponseEvent) -> None:
+        self._buffered += _measure(event)
+        self._events.append(event)
+
+    def _count_framing(self, received: int, body: int) -> None:
+        """Count bytes that were no body; the parser tells of some of them only, or of none."""
+        paid = body * (1 + FRAMING_PER_BODY_BYTE)
+        self._framing_bytes = max(0, self._framing_bytes + received - paid)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            reason = f"over {MAX_FRAMING_BYTES} bytes that are no body"
+            self._fail(reason, ResponseTooLargeError)
+            self.close()
 
-    def _fail(self, reason: str) -> None:
+    def _fail(
+        self, reason: str, failure_type: type[BrokenResponseError] = BrokenResponseError
+    ) -> None:
         if self._failure is None:
             self._failure = reason
+            self._failure_type = failure_type
         self._wake()
 
     def _wake(self) -> None:
@@ -223,6 +259,10 @@
             self._waiter.set_result(None)
 
 
+def _measure(event: ResponseEvent) -> int:
+    return EVENT_BYTES + len(event.data) if isinstance(event, BodyPart) else EVENT_BYTES
+
+
 def set_socket_options(transport: asyncio.Transport) -> None:
     """Send small writes at once, and give up on peers that acknowledge nothing."""
     sock = transport.get_extra_info("socket")
@@ -235,14 +275,21 @@
 async def read_whole(connection: ClientConnection, limit: int) -> tuple[ResponseHead, bytes]:
     """Read one response of at most `limit` body bytes; raises BrokenResponseError."""
     head = await connection.read()
-    parts: list[bytes] = []
-    size = 0
+    return head, await read_body(connection, limit)
+
+
+async def read_body(connection: ClientConnection, limit: int) -> bytes:
+    """Read the rest of a response; beyond `limit` bytes the connection is closed.
+
+    Raises BrokenResponseError.
+    """
+    body = bytearray()
     while not isinstance(event := await connection.read(), BodyEnd):
         if isinstance(event, BodyPart):
-            size += len(event.data)
-            if size > limit:
-                raise BrokenResponseError(
-                    f"{connection.address}: the body exceeds {limit} bytes", received=True
-                )
-            parts.append(event.data)
-    return head, b"".join(parts)
+            body += event.data
+        if len(body) > limit:
+            connection.close()
+            raise ResponseTooLargeError(
+                f"{connection.address}: the body exceeds {limit} bytes", received=True
+            )
+    return bytes(body)
--- a/tests/peer/test_streams.py
+++ b/tests/peer/test_streams.py
@@ -23,7 +23,7 @@
 async def answer(message):
     if message.ids:
         await asyncio.sleep(float(message.ids[0]))
-    return TurnPage(())
+    return TurnPage((), "d")
 
 
 async def test_many_requests_share_a_connection_and_answers_may_cross():
