--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,6 +22,13 @@
 REGRESSIONS: list[tuple[int, float, bool, str]] = [
     (379083, 15.0, False, "an entry without a view of keepers called a kept turn unknown"),
     (337545, 12.0, True, "of the soak itself: workers failed the only late try of two turns"),
+    (506880, 12.0, False, "an entry took requests until the end of its grace, and cut them"),
+    (
+        870100,
+        12.0,
+        False,
+        "not traced: keepers silent for a second, again and again, after the faults",
+    ),
 ]
 
 
@@ -34,7 +41,9 @@
     assert report.owed > 0.1 * report.attempts
 
 
-@pytest.mark.parametrize(("seed", "seconds", "large", "cause"), REGRESSIONS)
+@pytest.mark.parametrize(
+    ("seed", "seconds", "large", "cause"), REGRESSIONS, ids=[str(case[0]) for case in REGRESSIONS]
+)
 def test_a_seed_that_failed_once_passes(seed, seconds, large, cause, tmp_path):
     report = run_seed(seed, seconds, large=large, keep=tmp_path)
     assert not report.problems, (cause, report.problems[:5])
