Break off a worker's reply that is too long

Callers saw: an entry that collected a tool's endless reply until the call's time ran out, and a control reply for its second, as fast as the worker could send. Cause: both bodies were read whole, without a limit on size. Change: a reply is read up to 8 MiB, a control reply up to 64 KiB. What is longer is lost, may have run, and is no crash; the connection closes with the response.

--- a/egretford/upstream/http.py
+++ b/egretford/upstream/http.py
@@ -28,6 +28,10 @@
 
 CONTROL_SECONDS = 1.0
 MAX_RESUMES = 3
+# Longest reply of a tool; far above what a segment of the journal is meant to hold.
+MAX_RESULT_BYTES = 8_388_608
+# Longest reply to a control request; workers send some hundred.
+MAX_CONTROL_BYTES = 65_536
 DATA_PREFIX = b"data: "
 DONE = b"[DONE]"
 _NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
@@ -130,7 +134,7 @@
                 f"{worker.address}/call", data=orjson.dumps(body), headers=headers, timeout=limits
             ) as response:
                 await _check_status(worker, response, sent_before=False)
-                return orjson.loads(await response.read())["result"]
+                return orjson.loads(await _read_whole(worker, response, MAX_RESULT_BYTES))["result"]
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamRefusedError(f"{worker.name}: {error}") from error
         except TimeoutError as error:
@@ -179,7 +183,7 @@
                 method, worker.address + path, data=data, timeout=limits
             ) as response:
                 await _check_status(worker, response, sent_before=False)
-                return orjson.loads(await response.read())
+                return orjson.loads(await _read_whole(worker, response, MAX_CONTROL_BYTES))
         except (*_NETWORK_ERRORS, ValueError) as error:
             raise UpstreamLostError(f"{worker.name}: {path}: {error!r}", crashed=False) from error
 
@@ -196,6 +200,15 @@
     }
 
 
+async def _read_whole(worker: Worker, response: aiohttp.ClientResponse, limit: int) -> bytes:
+    body = bytearray()
+    while part := await response.content.readany():
+        body += part
+        if len(body) > limit:
+            raise UpstreamLostError(f"{worker.name}: a reply over {limit} bytes", crashed=False)
+    return bytes(body)
+
+
 async def _check_status(
     worker: Worker, response: aiohttp.ClientResponse, *, sent_before: bool
 ) -> None:
--- /dev/null
+++ b/tests/upstream/test_endless_answers.py
@@ -0,0 +1,72 @@
+"""Workers whose bytes are no answer and do not end until the caller closes."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from egretford.errors import UpstreamLostError
+from egretford.models import Worker
+from egretford.settings import UpstreamSettings
+from egretford.upstream.http import HttpUpstream
+from egretford.upstream.interface import ToolDispatch
+from tests.endless import EndlessServer
+
+OK = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+LOAD = b'HTTP/1.1 200 OK\r\nContent-Length: 25\r\n\r\n{"running":0,"waiting":0}'
+# Above the limit on a tool's reply and what sockets buffer; far below the flood's end.
+STOPPED_BYTES = 24_000_000
+# A test that lasts longer has met an answer that nothing ended.
+PATIENCE_SECONDS = 10.0
+
+
+@pytest.fixture
+async def client():
+    upstream = HttpUpstream(UpstreamSettings(silence=0.4, connect=0.5))
+    await upstream.start()
+    yield upstream
+    await upstream.close()
+
+
+@contextlib.asynccontextmanager
+async def run_worker(begin, unit, pause=0.0, load=LOAD):
+    """A worker that is endless everywhere except, where `load` is given, in its load."""
+
+    def answer(request):
+        return (load, b"") if load and b" /load " in request else (begin, unit)
+
+    server = EndlessServer(answer, pause)
+    await server.start()
+    try:
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            yield server
+    finally:
+        await server.close()
+
+
+def at(server):
+    return Worker("worker", f"http://{server.address}", "domain")
+
+
+def run_tool(client, server):
+    return client.run_tool(at(server), ToolDispatch("p", 1, [], repeatable=False), seconds=3.0)
+
+
+# Guards against an entry that collects a tool's endless reply until its time or memory ends.
+async def test_endless_reply_of_a_tool_is_cut_off(client):
+    async with run_worker(OK, b"x") as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_tool(client, server)
+        await server.wait_cut()
+    assert not caught.value.crashed
+    assert server.sent < STOPPED_BYTES
+
+
+# Guards against a load report that costs an entry as much memory as a worker can send.
+async def test_endless_control_reply_is_cut_off(client):
+    async with run_worker(OK, b" ", load=None) as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await client.read_load(at(server))
+        await server.wait_cut()
+    assert not caught.value.crashed
+    assert server.sent < STOPPED_BYTES
