Read only the beginning of a worker's error

Callers saw: a model call whose worker sent an error with an endless body hung until the call's deadline, or was resumed and lost although the status had refused it. Cause: the text of an error was read whole, on model calls without a total time. Evidence: test_endless_error_of_a_model_call_is_judged_by_its_status, four cases, red before: slow bodies ran into the test's timeout, floods ended as silence. Change: 800 bytes at most are read, for a second at most. The status alone gives the verdict, as before; a body that fails to end does not change it.

--- a/egretford/upstream/http.py
+++ b/egretford/upstream/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -32,6 +33,9 @@
 MAX_RESULT_BYTES = 8_388_608
 # Longest reply to a control request; workers send some hundred.
 MAX_CONTROL_BYTES = 65_536
+# What is read of an error's body, and for how long; its status is the verdict.
+MAX_ERROR_BYTES = 800
+ERROR_SECONDS = 1.0
 DATA_PREFIX = b"data: "
 DONE = b"[DONE]"
 _NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
@@ -214,7 +218,7 @@
 ) -> None:
     if response.status < 300:
         return
-    text = (await response.text())[:200]
+    text = await _read_error(response)
     message = f"{worker.name}: status {response.status}: {text}"
     if sent_before:
         raise UpstreamLostError(message, crashed=False)
@@ -227,6 +231,15 @@
             raise UpstreamLostError(message, crashed=False)
 
 
+async def _read_error(response: aiohttp.ClientResponse) -> str:
+    body = bytearray()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(ERROR_SECONDS):
+            while len(body) < MAX_ERROR_BYTES and (part := await response.content.readany()):
+                body += part
+    return body[:MAX_ERROR_BYTES].decode(errors="replace")[:200]
+
+
 async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[Token | Finish]:
     finished = False
     async for line in response.content:
--- a/tests/upstream/test_endless_answers.py
+++ b/tests/upstream/test_endless_answers.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from egretford.errors import UpstreamLostError
+from egretford.errors import UpstreamLostError, UpstreamRefusedError
 from egretford.models import Worker
 from egretford.settings import UpstreamSettings
 from egretford.upstream.http import HttpUpstream
-from egretford.upstream.interface import ToolDispatch
+from egretford.upstream.interface import ModelDispatch, ToolDispatch
 from tests.endless import EndlessServer
 
 OK = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
@@ -52,6 +52,20 @@
     return client.run_tool(at(server), ToolDispatch("p", 1, [], repeatable=False), seconds=3.0)
 
 
+async def run_model(client, server, events=None):
+    dispatch = ModelDispatch("request-1", "program-1", "model", [], 60, 0)
+    async with contextlib.aclosing(client.run_model(at(server), dispatch)) as stream:
+        seen = 0
+        async for _ in stream:
+            seen += 1
+            if seen == events:
+                return
+
+
+def count_streams(server):
+    return sum(b" /load " not in request for request in server.requests)
+
+
 # Guards against an entry that collects a tool's endless reply until its time or memory ends.
 async def test_endless_reply_of_a_tool_is_cut_off(client):
     async with run_worker(OK, b"x") as server:
@@ -70,3 +84,18 @@
         await server.wait_cut()
     assert not caught.value.crashed
     assert server.sent < STOPPED_BYTES
+
+
+# Guards against an error whose text holds a model call until the call's own deadline.
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+@pytest.mark.parametrize(
+    ("status", "error"), [(b"503 Busy", UpstreamRefusedError), (b"500 Odd", UpstreamLostError)]
+)
+async def test_endless_error_of_a_model_call_is_judged_by_its_status(client, status, error, pause):
+    begin = b"HTTP/1.1 " + status + b"\r\nConnection: close\r\n\r\nfull"
+    async with run_worker(begin, b"x", pause) as server:
+        with pytest.raises(error, match="full"):
+            await run_model(client, server)
+        await server.wait_cut()
+    assert count_streams(server) == 1
+    assert server.sent < STOPPED_BYTES
