Count a stream as silent that sends bytes but no event

Callers saw: a model call that lasted until its deadline while its worker sent comments, blank lines, one line, or heads without end; a line over 512 KiB left the client as aiohttp's LineTooLong, an internal error without a verdict. Cause: only sock_read bounded silence, and any byte puts it off. Lines without an event were skipped for as long as they came. Evidence: test_stream_without_events_is_silent_and_resumed, five cases, red before by the test's timeout; test_flood_without_events_is_cut_off, three cases, red before. test_healthy_stream_with_comments_goes_on was green before and stays so. Change: the limit on silence runs from one event to the next, and for the head with the time to connect. A silent stream is resumed as ever. Over 64 KiB without an event or 512 KiB in a line (aiohttp's own limit before) are lost at once, and no crash.

--- a/egretford/upstream/http.py
+++ b/egretford/upstream/http.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import orjson
+from aiohttp.http_exceptions import LineTooLong
 
 from egretford.errors import (
     UpstreamError,
@@ -36,6 +37,10 @@
 # What is read of an error's body, and for how long; its status is the verdict.
 MAX_ERROR_BYTES = 800
 ERROR_SECONDS = 1.0
+# Longest line of a stream; an event is one line with one token.
+MAX_LINE_BYTES = 524_288
+# Bytes between two events beyond which they are no comments; a flood keeps an entry busy.
+MAX_COMMENT_BYTES = 65_536
 DATA_PREFIX = b"data: "
 DONE = b"[DONE]"
 _NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
@@ -94,15 +99,17 @@
             url = f"{worker.address}/v1/chat/completions"
             body = orjson.dumps(_write_completion(dispatch))
             request = self._pooled.post(url, data=body, timeout=self._limits())
+        settings = self._settings
         try:
-            response = await request
+            async with asyncio.timeout(settings.connect + settings.silence):
+                response = await request
         except aiohttp.ClientConnectorError as error:
             if resumed:
                 raise UpstreamLostError(f"{worker.name}: {error}", crashed=True) from error
             raise UpstreamRefusedError(f"{worker.name}: {error}") from error
         async with response:
             await _check_status(worker, response, sent_before=resumed)
-            async for event in _read_events(response):
+            async for event in _read_events(worker, response, settings.silence):
                 yield event
 
     def _limits(self) -> aiohttp.ClientTimeout:
@@ -240,12 +247,13 @@
     return body[:MAX_ERROR_BYTES].decode(errors="replace")[:200]
 
 
-async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[Token | Finish]:
+async def _read_events(
+    worker: Worker, response: aiohttp.ClientResponse, silence: float
+) -> AsyncIterator[Token | Finish]:
     finished = False
-    async for line in response.content:
-        if not line.startswith(DATA_PREFIX):
-            continue
-        data = line[len(DATA_PREFIX) :].strip()
+    while True:
+        async with asyncio.timeout(silence):
+            data = await _read_data(worker, response)
         if data == DONE:
             break
         event = _parse_event(orjson.loads(data))
@@ -255,6 +263,25 @@
         raise aiohttp.ClientPayloadError("the stream ended before the answer did")
 
 
+async def _read_data(worker: Worker, response: aiohttp.ClientResponse) -> bytes:
+    """Return the next event's data, skipping lines without; DONE also at the stream's end."""
+    skipped = 0
+    while skipped <= MAX_COMMENT_BYTES:
+        try:
+            line = await response.content.readline(max_line_length=MAX_LINE_BYTES)
+        except LineTooLong as error:
+            message = f"{worker.name}: a line over {MAX_LINE_BYTES} bytes"
+            raise UpstreamLostError(message, crashed=False) from error
+        if not line:
+            return DONE
+        if line.startswith(DATA_PREFIX):
+            return line[len(DATA_PREFIX) :].strip()
+        skipped += len(line)
+    raise UpstreamLostError(
+        f"{worker.name}: over {MAX_COMMENT_BYTES} bytes without an event", crashed=False
+    )
+
+
 def _parse_event(body: dict[str, Any]) -> Token | Finish:
     usage = body.get("usage")
     if usage is None:
--- a/tests/upstream/test_endless_answers.py
+++ b/tests/upstream/test_endless_answers.py
@@ -8,12 +8,13 @@
 from egretford.errors import UpstreamLostError, UpstreamRefusedError
 from egretford.models import Worker
 from egretford.settings import UpstreamSettings
-from egretford.upstream.http import HttpUpstream
+from egretford.upstream.http import MAX_RESUMES, HttpUpstream
 from egretford.upstream.interface import ModelDispatch, ToolDispatch
 from tests.endless import EndlessServer
 
 OK = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 LOAD = b'HTTP/1.1 200 OK\r\nContent-Length: 25\r\n\r\n{"running":0,"waiting":0}'
+EVENT = b'data: {"token": 0, "choices": [{"delta": {"content": "a"}}]}\n\n'
 # Above the limit on a tool's reply and what sockets buffer; far below the flood's end.
 STOPPED_BYTES = 24_000_000
 # A test that lasts longer has met an answer that nothing ended.
@@ -99,3 +100,51 @@
         await server.wait_cut()
     assert count_streams(server) == 1
     assert server.sent < STOPPED_BYTES
+
+
+# Guards against bytes without an event that put off the limit on silence for good.
+@pytest.mark.parametrize(
+    ("begin", "unit"),
+    [
+        (OK, b": ping\n\n"),
+        (OK, b"\n"),
+        (OK + b"data: ", b"x"),
+        (b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ],
+    ids=["comments", "blank lines", "a line", "a head", "heads"],
+)
+async def test_stream_without_events_is_silent_and_resumed(client, begin, unit):
+    async with run_worker(begin, unit, pause=0.05) as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_model(client, server)
+    assert not caught.value.crashed
+    assert count_streams(server) == 1 + MAX_RESUMES
+
+
+# Guards against a flood that keeps an entry busy, and a line that ends a call as internal error.
+@pytest.mark.parametrize(
+    ("begin", "unit"),
+    [(OK, b": ping\n\n"), (OK, b"\n"), (OK + b"data: ", b"x")],
+    ids=["comments", "blank lines", "a line"],
+)
+async def test_flood_without_events_is_cut_off(client, begin, unit):
+    async with run_worker(begin, unit) as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_model(client, server)
+        await server.wait_cut()
+    assert not caught.value.crashed
+    assert count_streams(server) == 1
+    assert server.sent < STOPPED_BYTES
+
+
+# Guards against limits that add up over a stream and so break off a healthy one.
+async def test_healthy_stream_with_comments_goes_on():
+    client = HttpUpstream(UpstreamSettings(silence=2.0))
+    await client.start()
+    unit = b": ping\n" * 2_000 + EVENT
+    async with run_worker(OK, unit, pause=0.1) as server:
+        await run_model(client, server, events=25)
+    await client.close()
+    assert len(server.requests) == 1
+    assert server.sent > 2 * 65_536
