Do not take a worker for crashed that sends an endless head

Callers saw: a request counted towards quarantine as if it had crashed its worker, while the worker sent on a head that aiohttp refuses. Cause: every aiohttp error but a timeout counted as a crash, also a head that cannot be read, for tools and, where the load could not be read either, for models. Evidence: test_endless_head_of_a_tool_reply_is_no_crash and test_endless_heads_everywhere_are_no_crash, red before (crashed was true). Change: a response that cannot be read (ClientResponseError) is lost but no crash.

--- a/egretford/upstream/http.py
+++ b/egretford/upstream/http.py
@@ -44,6 +44,8 @@
 DATA_PREFIX = b"data: "
 DONE = b"[DONE]"
 _NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+# A worker that is silent, or sends what is no head of a response, has not crashed.
+_ALIVE_ERRORS = (asyncio.TimeoutError, aiohttp.ClientResponseError)
 
 
 class HttpUpstream:
@@ -127,7 +129,7 @@
         try:
             await self.read_load(worker)
         except UpstreamError as gone:
-            crashed = not isinstance(error, asyncio.TimeoutError)
+            crashed = not isinstance(error, _ALIVE_ERRORS)
             raise UpstreamLostError(f"{worker.name}: {error!r}", crashed=crashed) from gone
 
     async def run_tool(self, worker: Worker, dispatch: ToolDispatch, seconds: float) -> Any:
@@ -150,6 +152,8 @@
             raise UpstreamRefusedError(f"{worker.name}: {error}") from error
         except TimeoutError as error:
             raise UpstreamLostError(f"{worker.name}: no reply in time", crashed=False) from error
+        except aiohttp.ClientResponseError as error:
+            raise UpstreamLostError(f"{worker.name}: {error!r}", crashed=False) from error
         except (aiohttp.ClientError, OSError, ValueError, KeyError) as error:
             raise UpstreamLostError(f"{worker.name}: {error!r}", crashed=True) from error
 
--- a/tests/upstream/test_endless_answers.py
+++ b/tests/upstream/test_endless_answers.py
@@ -77,6 +77,16 @@
     assert server.sent < STOPPED_BYTES
 
 
+# Guards against a worker that is blamed for a crash, and so its request, though it sends on.
+async def test_endless_head_of_a_tool_reply_is_no_crash(client):
+    async with run_worker(b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x") as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_tool(client, server)
+        await server.wait_cut()
+    assert not caught.value.crashed
+    assert server.sent < STOPPED_BYTES
+
+
 # Guards against a load report that costs an entry as much memory as a worker can send.
 async def test_endless_control_reply_is_cut_off(client):
     async with run_worker(OK, b" ", load=None) as server:
@@ -138,6 +148,14 @@
     assert server.sent < STOPPED_BYTES
 
 
+# Guards against a worker taken for crashed because its load, too, is an endless head.
+async def test_endless_heads_everywhere_are_no_crash(client):
+    async with run_worker(b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x", load=None) as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_model(client, server)
+    assert not caught.value.crashed
+
+
 # Guards against limits that add up over a stream and so break off a healthy one.
 async def test_healthy_stream_with_comments_goes_on():
     client = HttpUpstream(UpstreamSettings(silence=2.0))
