--- a/egretford/upstream/http.py
+++ b/egretford/upstream/http.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
 import orjson
+from aiohttp.http_exceptions import LineTooLong
 
 from egretford.errors import (
     UpstreamError,
@@ -28,9 +30,22 @@
 
 CONTROL_SECONDS = 1.0
 MAX_RESUMES = 3
+# Longest reply of a tool; far above what a segment of the journal is meant to hold.
+MAX_RESULT_BYTES = 8_388_608
+# Longest reply to a control request; workers send some hundred.
+MAX_CONTROL_BYTES = 65_536
+# What is read of an error's body, and for how long; its status is the verdict.
+MAX_ERROR_BYTES = 800
+ERROR_SECONDS = 1.0
+# Longest line of a stream; an event is one line with one token.
+MAX_LINE_BYTES = 524_288
+# Bytes between two events beyond which they are no comments; a flood keeps an entry busy.
+MAX_COMMENT_BYTES = 65_536
 DATA_PREFIX = b"data: "
 DONE = b"[DONE]"
 _NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+# A worker that is silent, or sends what is no head of a response, has not crashed.
+_ALIVE_ERRORS = (asyncio.TimeoutError, aiohttp.ClientResponseError)
 
 
 class HttpUpstream:
@@ -86,15 +101,17 @@
             url = f"{worker.address}/v1/chat/completions"
             body = orjson.dumps(_write_completion(dispatch))
             request = self._pooled.post(url, data=body, timeout=self._limits())
+        settings = self._settings
         try:
-            response = await request
+            async with asyncio.timeout(settings.connect + settings.silence):
+                response = await request
         except aiohttp.ClientConnectorError as error:
             if resumed:
                 raise UpstreamLostError(f"{worker.name}: {error}", crashed=True) from error
             raise UpstreamRefusedError(f"{worker.name}: {error}") from error
         async with response:
             await _check_status(worker, response, sent_before=resumed)
-            async for event in _read_events(response):
+            async for event in _read_events(worker, response, settings.silence):
                 yield event
 
     def _limits(self) -> aiohttp.ClientTimeout:
@@ -112,7 +129,7 @@
         try:
             await self.read_load(worker)
         except UpstreamError as gone:
-            crashed = not isinstance(error, asyncio.TimeoutError)
+            crashed = not isinstance(error, _ALIVE_ERRORS)
             raise UpstreamLostError(f"{worker.name}: {error!r}", crashed=crashed) from gone
 
     async def run_tool(self, worker: Worker, dispatch: ToolDispatch, seconds: float) -> Any:
@@ -130,11 +147,13 @@
                 f"{worker.address}/call", data=orjson.dumps(body), headers=headers, timeout=limits
             ) as response:
                 await _check_status(worker, response, sent_before=False)
-                return orjson.loads(await response.read())["result"]
+                return orjson.loads(await _read_whole(worker, response, MAX_RESULT_BYTES))["result"]
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamRefusedError(f"{worker.name}: {error}") from error
         except TimeoutError as error:
             raise UpstreamLostError(f"{worker.name}: no reply in time", crashed=False) from error
+        except aiohttp.ClientResponseError as error:
+            raise UpstreamLostError(f"{worker.name}: {error!r}", crashed=False) from error
         except (aiohttp.ClientError, OSError, ValueError, KeyError) as error:
             raise UpstreamLostError(f"{worker.name}: {error!r}", crashed=True) from error
 
@@ -179,7 +198,7 @@
                 method, worker.address + path, data=data, timeout=limits
             ) as response:
                 await _check_status(worker, response, sent_before=False)
-                return orjson.loads(await response.read())
+                return orjson.loads(await _read_whole(worker, response, MAX_CONTROL_BYTES))
         except (*_NETWORK_ERRORS, ValueError) as error:
             raise UpstreamLostError(f"{worker.name}: {path}: {error!r}", crashed=False) from error
 
@@ -196,12 +215,21 @@
     }
 
 
+async def _read_whole(worker: Worker, response: aiohttp.ClientResponse, limit: int) -> bytes:
+    body = bytearray()
+    while part := await response.content.readany():
+        body += part
+        if len(body) > limit:
+            raise UpstreamLostError(f"{worker.name}: a reply over {limit} bytes", crashed=False)
+    return bytes(body)
+
+
 async def _check_status(
     worker: Worker, response: aiohttp.ClientResponse, *, sent_before: bool
 ) -> None:
     if response.status < 300:
         return
-    text = (await response.text())[:200]
+    text = await _read_error(response)
     message = f"{worker.name}: status {response.status}: {text}"
     if sent_before:
         raise UpstreamLostError(message, crashed=False)
@@ -214,12 +242,22 @@
             raise UpstreamLostError(message, crashed=False)
 
 
-async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[Token | Finish]:
+async def _read_error(response: aiohttp.ClientResponse) -> str:
+    body = bytearray()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(ERROR_SECONDS):
+            while len(body) < MAX_ERROR_BYTES and (part := await response.content.readany()):
+                body += part
+    return body[:MAX_ERROR_BYTES].decode(errors="replace")[:200]
+
+
+async def _read_events(
+    worker: Worker, response: aiohttp.ClientResponse, silence: float
+) -> AsyncIterator[Token | Finish]:
     finished = False
-    async for line in response.content:
-        if not line.startswith(DATA_PREFIX):
-            continue
-        data = line[len(DATA_PREFIX) :].strip()
+    while True:
+        async with asyncio.timeout(silence):
+            data = await _read_data(worker, response)
         if data == DONE:
             break
         event = _parse_event(orjson.loads(data))
@@ -229,6 +267,25 @@
         raise aiohttp.ClientPayloadError("the stream ended before the answer did")
 
 
+async def _read_data(worker: Worker, response: aiohttp.ClientResponse) -> bytes:
+    """Return the next event's data, skipping lines without; DONE also at the stream's end."""
+    skipped = 0
+    while skipped <= MAX_COMMENT_BYTES:
+        try:
+            line = await response.content.readline(max_line_length=MAX_LINE_BYTES)
+        except LineTooLong as error:
+            message = f"{worker.name}: a line over {MAX_LINE_BYTES} bytes"
+            raise UpstreamLostError(message, crashed=False) from error
+        if not line:
+            return DONE
+        if line.startswith(DATA_PREFIX):
+            return line[len(DATA_PREFIX) :].strip()
+        skipped += len(line)
+    raise UpstreamLostError(
+        f"{worker.name}: over {MAX_COMMENT_BYTES} bytes without an event", crashed=False
+    )
+
+
 def _parse_event(body: dict[str, Any]) -> Token | Finish:
     usage = body.get("usage")
     if usage is None:
--- /dev/null
+++ b/tests/upstream/test_endless_answers.py
@@ -0,0 +1,168 @@
+"""Workers whose bytes are no answer and do not end until the caller closes."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from egretford.errors import UpstreamLostError, UpstreamRefusedError
+from egretford.models import Worker
+from egretford.settings import UpstreamSettings
+from egretford.upstream.http import MAX_RESUMES, HttpUpstream
+from egretford.upstream.interface import ModelDispatch, ToolDispatch
+from tests.endless import EndlessServer
+
+OK = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+LOAD = b'HTTP/1.1 200 OK\r\nContent-Length: 25\r\n\r\n{"running":0,"waiting":0}'
+EVENT = b'data: {"token": 0, "choices": [{"delta": {"content": "a"}}]}\n\n'
+# Above the limit on a tool's reply and what sockets buffer; far below the flood's end.
+STOPPED_BYTES = 24_000_000
+# A test that lasts longer has met an answer that nothing ended.
+PATIENCE_SECONDS = 10.0
+
+
+@pytest.fixture
+async def client():
+    upstream = HttpUpstream(UpstreamSettings(silence=0.4, connect=0.5))
+    await upstream.start()
+    yield upstream
+    await upstream.close()
+
+
+@contextlib.asynccontextmanager
+async def run_worker(begin, unit, pause=0.0, load=LOAD):
+    """A worker that is endless everywhere except, where `load` is given, in its load."""
+
+    def answer(request):
+        return (load, b"") if load and b" /load " in request else (begin, unit)
+
+    server = EndlessServer(answer, pause)
+    await server.start()
+    try:
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            yield server
+    finally:
+        await server.close()
+
+
+def at(server):
+    return Worker("worker", f"http://{server.address}", "domain")
+
+
+def run_tool(client, server):
+    return client.run_tool(at(server), ToolDispatch("p", 1, [], repeatable=False), seconds=3.0)
+
+
+async def run_model(client, server, events=None):
+    dispatch = ModelDispatch("request-1", "program-1", "model", [], 60, 0)
+    async with contextlib.aclosing(client.run_model(at(server), dispatch)) as stream:
+        seen = 0
+        async for _ in stream:
+            seen += 1
+            if seen == events:
+                return
+
+
+def count_streams(server):
+    return sum(b" /load " not in request for request in server.requests)
+
+
+# Guards against an entry that collects a tool's endless reply until its time or memory ends.
+async def test_endless_reply_of_a_tool_is_cut_off(client):
+    async with run_worker(OK, b"x") as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_tool(client, server)
+        await server.wait_cut()
+    assert not caught.value.crashed
+    assert server.sent < STOPPED_BYTES
+
+
+# Guards against a worker that is blamed for a crash, and so its request, though it sends on.
+async def test_endless_head_of_a_tool_reply_is_no_crash(client):
+    async with run_worker(b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x") as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_tool(client, server)
+        await server.wait_cut()
+    assert not caught.value.crashed
+    assert server.sent < STOPPED_BYTES
+
+
+# Guards against a load report that costs an entry as much memory as a worker can send.
+async def test_endless_control_reply_is_cut_off(client):
+    async with run_worker(OK, b" ", load=None) as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await client.read_load(at(server))
+        await server.wait_cut()
+    assert not caught.value.crashed
+    assert server.sent < STOPPED_BYTES
+
+
+# Guards against an error whose text holds a model call until the call's own deadline.
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+@pytest.mark.parametrize(
+    ("status", "error"), [(b"503 Busy", UpstreamRefusedError), (b"500 Odd", UpstreamLostError)]
+)
+async def test_endless_error_of_a_model_call_is_judged_by_its_status(client, status, error, pause):
+    begin = b"HTTP/1.1 " + status + b"\r\nConnection: close\r\n\r\nfull"
+    async with run_worker(begin, b"x", pause) as server:
+        with pytest.raises(error, match="full"):
+            await run_model(client, server)
+        await server.wait_cut()
+    assert count_streams(server) == 1
+    assert server.sent < STOPPED_BYTES
+
+
+# Guards against bytes without an event that put off the limit on silence for good.
+@pytest.mark.parametrize(
+    ("begin", "unit"),
+    [
+        (OK, b": ping\n\n"),
+        (OK, b"\n"),
+        (OK + b"data: ", b"x"),
+        (b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ],
+    ids=["comments", "blank lines", "a line", "a head", "heads"],
+)
+async def test_stream_without_events_is_silent_and_resumed(client, begin, unit):
+    async with run_worker(begin, unit, pause=0.05) as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_model(client, server)
+    assert not caught.value.crashed
+    assert count_streams(server) == 1 + MAX_RESUMES
+
+
+# Guards against a flood that keeps an entry busy, and a line that ends a call as internal error.
+@pytest.mark.parametrize(
+    ("begin", "unit"),
+    [(OK, b": ping\n\n"), (OK, b"\n"), (OK + b"data: ", b"x")],
+    ids=["comments", "blank lines", "a line"],
+)
+async def test_flood_without_events_is_cut_off(client, begin, unit):
+    async with run_worker(begin, unit) as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_model(client, server)
+        await server.wait_cut()
+    assert not caught.value.crashed
+    assert count_streams(server) == 1
+    assert server.sent < STOPPED_BYTES
+
+
+# Guards against a worker taken for crashed because its load, too, is an endless head.
+async def test_endless_heads_everywhere_are_no_crash(client):
+    async with run_worker(b"HTTP/1.1 200 OK\r\nX-Endless: ", b"x", load=None) as server:
+        with pytest.raises(UpstreamLostError) as caught:
+            await run_model(client, server)
+    assert not caught.value.crashed
+
+
+# Guards against limits that add up over a stream and so break off a healthy one.
+async def test_healthy_stream_with_comments_goes_on():
+    client = HttpUpstream(UpstreamSettings(silence=2.0))
+    await client.start()
+    unit = b": ping\n" * 2_000 + EVENT
+    async with run_worker(OK, unit, pause=0.1) as server:
+        await run_model(client, server, events=25)
+    await client.close()
+    assert len(server.requests) == 1
+    assert server.sent > 2 * 65_536
