Count replies about a turn only under the view in which they were given

Seen by callers: 404 for a kept turn. Cause: a keeper that hands its turns over and leaves while a history is searched makes the entry learn of a newer view; the replies that two keepers gave before the handover were then counted as those of all holders of the newer view. Change: each reply counts only while the view it was asked under is the newest known; keepers that replied under an older one are asked again.

--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from attrs import define, evolve
+from attrs import define, evolve, frozen
 
 from egretford.clock import Clock
 from egretford.entry.copies import TurnCopies
@@ -81,12 +81,20 @@
             self.turns.settle_in_background(evolve(self.charge, tokens=tokens, settled=True))
 
 
+@frozen
+class _Question:
+    """A question to a keeper, and the number of the view under which it was asked."""
+
+    member: Member
+    view: int
+
+
 @define
 class _MissingChain:
     """One round of questions that found no part of a chain.
 
-    `without_turn` has the disks of the keepers that lack the turn, `outcomes` the outcome at
-    each instance as text for the log.
+    `without_turn` has the disks of the keepers that lack the turn under the newest known view,
+    `outcomes` the outcome at each instance as text for the log.
     """
 
     without_turn: set[str]
@@ -219,37 +227,45 @@
     async def _ask_for_chain(self, program: str, turn_id: str) -> Reserved | _MissingChain:
         """Ask all keepers that may have a turn, in order of distance, with hedging."""
         queue = self._order_candidates(program)
-        tasks: dict[asyncio.Future[KeeperReply], Member] = {}
-        without_turn: set[str] = set()
+        tasks: dict[asyncio.Future[KeeperReply], _Question] = {}
+        # By disk, the number of the view under which the keeper was asked. A reply under an older
+        # view proves nothing, as turns may have been handed over since.
+        lacking: dict[str, int] = {}
         outcomes: dict[str, str] = {}
         try:
             while queue or tasks:
                 if queue:
-                    member = queue.pop(0)
+                    question = _Question(queue.pop(0), self._keepers.view.number)
                     query = Reserve(None, turn_id, with_chain=True)
-                    tasks[asyncio.ensure_future(self._keepers.send_request(member, query))] = member
+                    send = self._keepers.send_request(question.member, query)
+                    tasks[asyncio.ensure_future(send)] = question
                 done, _ = await asyncio.wait(
                     tasks,
                     timeout=HISTORY_HEDGE_SECONDS if queue else None,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 for task in done:
-                    member = tasks.pop(task)
+                    question = tasks.pop(task)
                     reply = _get_reply(task)
-                    outcomes[member.name] = describe_refusal(task)
+                    outcomes[question.member.name] = describe_refusal(task)
                     if isinstance(reply, Reserved) and reply.chain:
                         return reply
                     if isinstance(reply, Reserved):
-                        without_turn.add(member.disk)
+                        lacking[question.member.disk] = question.view
                     elif isinstance(reply, OutdatedView):
-                        seen_disks = without_turn | {other.disk for other in tasks.values()}
+                        asked = {q.member.disk for q in tasks.values() if self._is_current(q.view)}
+                        asked |= {d for d, number in lacking.items() if self._is_current(number)}
                         newest = self._order_candidates(program)
-                        queue = [other for other in newest if other.disk not in seen_disks]
+                        queue = [other for other in newest if other.disk not in asked]
         finally:
             for task in tasks:
                 task.cancel()
+        without_turn = {disk for disk, number in lacking.items() if self._is_current(number)}
         return _MissingChain(without_turn, outcomes)
 
+    def _is_current(self, view_number: int) -> bool:
+        return view_number == self._keepers.view.number
+
     def _order_candidates(self, program: str) -> list[Member]:
         """Return all members that may hold a program's turns, in the order to ask them.
 
