Copy turns from all other keepers while one of them does not reply

Seen: 503 for kept turns after a lost disk, as the successor of their keeper has not copied them in the time for catching up. Cause: one lock let a keeper fetch turns from one source at a time, so a source that had just gone blocked all others for the 2 s until its request timed out.

--- a/egretford/controllers/loops.py
+++ b/egretford/controllers/loops.py
@@ -38,6 +38,17 @@
             await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT_SECONDS)
 
 
+async def wait_for_event(event: asyncio.Event, clock: Clock, seconds: float) -> None:
+    """Return once the event is set, after `seconds` at the latest."""
+    sleep_task = asyncio.ensure_future(clock.sleep(seconds))
+    event_task = asyncio.ensure_future(event.wait())
+    try:
+        await asyncio.wait({sleep_task, event_task}, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        sleep_task.cancel()
+        event_task.cancel()
+
+
 async def run_every(
     clock: Clock, seconds: float, action: Callable[[], Awaitable[None]], log: Any
 ) -> None:
--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Any, Protocol
 
 from attrs import define
 
 from egretford.clock import Clock
-from egretford.controllers.loops import TaskGroup
+from egretford.controllers.loops import TaskGroup, wait_for_event
 from egretford.errors import EgretfordError
 from egretford.keeper.log import DiskError
 from egretford.keeper.messages import (
@@ -32,6 +33,11 @@
 COPY_INTERVAL_SECONDS = 0.5
 # Long enough for a page that queues behind other traffic on the link between regions.
 REQUEST_TIMEOUT_SECONDS = 2.0
+# A turn that was requested this long ago is requested from another keeper as well. A batch from
+# another region takes up to some hundred milliseconds.
+STALLED_FETCH_SECONDS = 0.5
+# Least pause while waiting for fetches of other sources.
+LEAST_FETCH_WAIT_SECONDS = 0.01
 # A reply has room for at most about a hundred turns; further ids would have to be sent again.
 MAX_FETCH_IDS = 100
 
@@ -62,6 +68,42 @@
     replaced: bool = False
 
 
+class PendingFetches:
+    """The turns that are being fetched, so that none is fetched from several sources at once.
+
+    After STALLED_FETCH_SECONDS a turn may be claimed again, as the first source may be silent.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._claimed_at: dict[str, float] = {}
+        self._changed = asyncio.Event()
+
+    def claim(self, turn_ids: list[str], limit: int) -> tuple[str, ...]:
+        """Claim up to `limit` of the turns that nobody else is fetching, and return these."""
+        now = self._clock.monotonic()
+        free = [
+            turn_id
+            for turn_id in turn_ids
+            if now - self._claimed_at.get(turn_id, -math.inf) >= STALLED_FETCH_SECONDS
+        ][:limit]
+        self._claimed_at.update(dict.fromkeys(free, now))
+        return tuple(free)
+
+    def release(self, turn_ids: tuple[str, ...]) -> None:
+        """End a fetch; also one that another source has taken over, whose copy may be redundant."""
+        for turn_id in turn_ids:
+            self._claimed_at.pop(turn_id, None)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_for_change(self) -> None:
+        """Return once a fetch has ended or has stalled."""
+        oldest = min(self._claimed_at.values(), default=-math.inf)
+        seconds = oldest + STALLED_FETCH_SECONDS - self._clock.monotonic()
+        await wait_for_event(self._changed, self._clock, max(seconds, LEAST_FETCH_WAIT_SECONDS))
+
+
 class CompletionStore(Protocol):
     """Durable storage of the newest completion."""
 
@@ -97,7 +139,7 @@
         self._tasks = TaskGroup()
         self._copy_tasks: dict[str, asyncio.Task[None]] = {}
         self._wakeup = asyncio.Event()
-        self._fetch_lock = asyncio.Lock()
+        self._fetches = PendingFetches(clock)
         self.sources: dict[str, Source] = {}
 
     async def start(self) -> None:
@@ -147,14 +189,7 @@
             await self._wait_for_next_round()
 
     async def _wait_for_next_round(self) -> None:
-        wakeup = self._wakeup
-        sleep_task = asyncio.ensure_future(self._clock.sleep(COPY_INTERVAL_SECONDS))
-        wakeup_task = asyncio.ensure_future(wakeup.wait())
-        try:
-            await asyncio.wait({sleep_task, wakeup_task}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            sleep_task.cancel()
-            wakeup_task.cancel()
+        await wait_for_event(self._wakeup, self._clock, COPY_INTERVAL_SECONDS)
 
     def wake(self) -> None:
         """Wake all copy loops from their pause between polls."""
@@ -210,25 +245,35 @@
 
         Returns False if the view or the disk changed before all of them were fetched.
         """
-        # Fetch from one source at a time, so that no turn is transferred twice over a slow link.
-        async with self._fetch_lock:
-            missing = [turn_id for turn_id in page.turns if not self._records.has_turn(turn_id)]
-            while missing:
-                batch = tuple(missing[:MAX_FETCH_IDS])
-                message = FetchTurns(batch, view=self._service.view.number)
-                reply = await self._request(source, message)
+        missing = [turn_id for turn_id in page.turns if not self._records.has_turn(turn_id)]
+        while missing:
+            batch = self._fetches.claim(missing, MAX_FETCH_IDS)
+            if not batch:
+                await self._fetches.wait_for_change()
+            else:
+                reply = await self._fetch_batch(source, batch)
                 if not isinstance(reply, TurnPage) or source.replaced:
                     # The page is requested again, under a newer view if there is one.
                     return False
-                await self._records.write(list(reply.turns))
-                # An empty reply means that the requested turns have expired at the source.
-                missing = [t for t in missing if not self._records.has_turn(t)]
                 if not reply.turns:
+                    # The requested turns have expired at the source.
                     missing = [t for t in missing if t not in batch]
+            missing = [t for t in missing if not self._records.has_turn(t)]
         await self._records.write([c for charges in page.charges for c in charges.unpack()])
         self._update_source(source, page, view)
         return True
 
+    async def _fetch_batch(self, source: Source, batch: tuple[str, ...]) -> KeeperReply:
+        """Request turns that were claimed from `_fetches`, and write those that arrive."""
+        try:
+            message = FetchTurns(batch, view=self._service.view.number)
+            reply = await self._request(source, message)
+            if isinstance(reply, TurnPage) and not source.replaced:
+                await self._records.write(list(reply.turns))
+            return reply
+        finally:
+            self._fetches.release(batch)
+
     def _update_source(self, source: Source, page: RecordPage, view: View) -> None:
         if source.lifetime != page.lifetime:
             source.lifetime, source.position, source.former = page.lifetime, 0, ()
