Read the worker list and the configuration in spite of entries that cannot be decoded

Seen by other operators: one odd entry beside those of the workers, after which machines stop to follow the list. Cause here: a page of the store was decoded as a whole, so an entry 3,000 levels deep or with a number out of range made every listing fail; a port with a digit of another script or with 5,000 digits, a watch event that is null, and any error of a listener ended the feed's task. Change: parts of a response that cannot be decoded are replaced by null, the others are read; one decoder with bounds for whole numbers in text, used by all; a feed logs an unexpected error, lists again after a pause and goes on; errors in one change do not keep back the others.

--- a/egretford/api/chat.py
+++ b/egretford/api/chat.py
@@ -23,6 +23,7 @@
 from egretford.controllers.gateway import Gateway
 from egretford.errors import ErrorKind, RequestError
 from egretford.models import CallKind, CallOutcome, CallRequest, OpenRequest, Urgency
+from egretford.numbers import parse_whole_number
 from egretford.policy.steps import CallProgress
 
 ANONYMOUS = "anonymous"
@@ -67,10 +68,10 @@
         body = self._parse(await read_body(request, self._body_bytes))
         program = read_header(request, b"Egretford-Program")
         if program is not None:
-            number = read_header(request, b"Egretford-Call") or ""
-            if not number.isdecimal():
+            number = parse_whole_number(read_header(request, b"Egretford-Call") or "")
+            if number is None:
                 raise RequestError(ErrorKind.BAD_REQUEST, "Egretford-Call must be a number")
-            return await self._run(program, _build_call(body, int(number)), body, one_call=False)
+            return await self._run(program, _build_call(body, number), body, one_call=False)
         opened = await self._gateway.open(self._build_opening(request, body), None)
         return await self._run(opened.program, _build_call(body, 1), body, one_call=True)
 
--- a/egretford/api/programs.py
+++ b/egretford/api/programs.py
@@ -21,6 +21,7 @@
 from egretford.errors import ErrorKind, RequestError
 from egretford.metrics import Metrics
 from egretford.models import CallOutcome, CallRequest, OpenRequest
+from egretford.numbers import parse_whole_number
 from egretford.policy.steps import CallProgress
 
 
@@ -50,12 +51,13 @@
 
     async def get_call(self, request: Request) -> Response:
         """GET /v1/programs/{program}/calls/{call}."""
-        program, number = request.route_values["program"], request.route_values["call"]
-        if not number.isdecimal():
-            raise RequestError(ErrorKind.BAD_REQUEST, f"call {number!r} is not a number")
-        progress = await self._gateway.get_call(program, int(number))
+        program, text = request.route_values["program"], request.route_values["call"]
+        number = parse_whole_number(text)
+        if number is None:
+            raise RequestError(ErrorKind.BAD_REQUEST, f"call {text[:40]!r} is not a number")
+        progress = await self._gateway.get_call(program, number)
         if progress.outcome is None:
-            return write_json(202, {"program": program, "call": int(number), "state": "running"})
+            return write_json(202, {"program": program, "call": number, "state": "running"})
         return _write_outcome(progress.outcome)
 
     async def call(self, request: Request) -> Response:
--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -46,7 +46,7 @@
         self._settings = settings
         self._clock = clock
         self._log = self._make_logger("entry")
-        self._store = MetadataStore(settings.store_address, clock)
+        self._store = MetadataStore(settings.store_address, clock, self._make_logger("store"))
         self._health = StoreHealth(clock, self._make_logger("store"))
         self.workers = WorkerTable(clock, self._health, self._make_logger("workers"))
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
--- a/egretford/entry/events.py
+++ b/egretford/entry/events.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define, evolve, frozen
 
 from egretford.errors import EgretfordError
+from egretford.numbers import parse_whole_number
 
 # Limit on the size of an event; workers send some hundred bytes.
 MAX_EVENT_BYTES = 1_048_576
@@ -93,9 +94,9 @@
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
         if name == b"id":
-            if not value.isdigit():
+            number = parse_whole_number(value)
+            if number is None:
                 raise EventError(f"an event's id is {value[:40]!r}, not a number")
-            number = int(value)
         elif name == b"data":
             data.append(value)
     if number is None and not data:
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -79,7 +79,7 @@
             self._make_logger("copying"),
         )
         self._service.on_view_adopted = self._copier.handle_new_view
-        self._store = MetadataStore(settings.store_address, clock)
+        self._store = MetadataStore(settings.store_address, clock, self._make_logger("store"))
         health = StoreHealth(clock, self._make_logger("store"))
         evacuations = StoredEvacuations(self._store, self._make_logger("evacuation"))
         self._feed = ObjectFeed(
--- a/egretford/platform/documents.py
+++ b/egretford/platform/documents.py
@@ -15,6 +15,7 @@
 )
 from egretford.errors import InputError, Problem
 from egretford.http.limits import RequestLimits
+from egretford.numbers import parse_whole_number
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -26,6 +27,10 @@
 # Accepted phases of a worker, and whether it is leaving; an entry with another phase is malformed.
 _PHASES = {"ready": False, "draining": True}
 _DEFAULT_ATTEMPTS = 3
+# Workers have some tens of slots; an entry with more than this is malformed.
+_MAX_SLOTS = 100_000
+_MAX_PORT = 65_535
+_MAX_BYTE = 255
 _DEFAULT_RETENTION_SECONDS = 60.0
 
 
@@ -38,7 +43,7 @@
             upstreams={item["name"]: _decode_upstream(item) for item in document["services"]},
             limits=_decode_limits(document["limits"]),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         problem = Problem(
             "config/main", f"cannot be read: {error!r}", "the previous version stays in force"
         )
@@ -113,7 +118,12 @@
     phase = document.get("phase")
     if not all(isinstance(text, str) and text for text in texts):
         return None
-    if type(slots) is not int or slots < 1 or not isinstance(phase, str) or phase not in _PHASES:
+    if (
+        type(slots) is not int
+        or not 0 < slots <= _MAX_SLOTS
+        or not isinstance(phase, str)
+        or phase not in _PHASES
+    ):
         return None
     if not _is_address(texts[1]):
         return None
@@ -134,8 +144,7 @@
     host, _, port = text.rpartition(":")
     parts = host.split(".")
     return (
-        port.isdigit()
-        and 0 < int(port) < 65_536
+        bool(parse_whole_number(port, _MAX_PORT))
         and len(parts) == 4
-        and all(part.isdigit() and int(part) < 256 for part in parts)
+        and all(parse_whole_number(part, _MAX_BYTE) is not None for part in parts)
     )
--- a/egretford/platform/feeds.py
+++ b/egretford/platform/feeds.py
@@ -6,7 +6,7 @@
 from typing import Any, Protocol
 
 from egretford.clock import Clock
-from egretford.controllers.loops import TaskGroup
+from egretford.controllers.loops import FAILURE_PAUSE_SECONDS, TaskGroup
 from egretford.entry.models import RoutingTable, Worker
 from egretford.errors import InputError, StoreUnavailableError
 from egretford.platform.documents import (
@@ -16,7 +16,13 @@
     decode_configuration,
     decode_worker,
 )
-from egretford.platform.store import HistoryGoneError, Listing, MetadataStore, StoreObject
+from egretford.platform.store import (
+    HistoryGoneError,
+    Listing,
+    MetadataStore,
+    ObjectChange,
+    StoreObject,
+)
 
 # Wait of one watch; if there is no response soon after, the next one uses a new connection.
 WATCH_SECONDS = 4.0
@@ -123,6 +129,11 @@
             except StoreUnavailableError as error:
                 self._health.record_failure(error)
                 await self._clock.sleep(RETRY_SECONDS)
+            except Exception as error:
+                # The process goes on with what it knows, and reads everything again.
+                self._log.error("a feed failed; listing again", kind=self._kind, error=repr(error))
+                self._revision = None
+                await self._clock.sleep(FAILURE_PAUSE_SECONDS)
 
     async def _list_or_watch(self) -> None:
         if self._revision is None:
@@ -135,11 +146,20 @@
         response = await self._store.watch(self._kind, self._revision, seconds)
         self._health.record_success()
         for change in response.changes:
-            self._handler.apply_change(change.object, change.removed)
+            self._apply(change)
         self._revision = response.revision
         if response.changes:
             await self._clock.sleep(self._pause)
 
+    def _apply(self, change: ObjectChange) -> None:
+        """Pass on one change; an error in one object must not keep back the changes of others."""
+        try:
+            self._handler.apply_change(change.object, change.removed)
+        except Exception as error:
+            self._log.error(
+                "a change failed", kind=self._kind, name=change.object.name, error=repr(error)
+            )
+
 
 class ConfigurationHandler:
     """Decodes the configuration and passes each valid version to a callback."""
--- a/egretford/platform/store.py
+++ b/egretford/platform/store.py
@@ -25,6 +25,7 @@
     read_response,
 )
 from egretford.http.messages import encode_head
+from egretford.platform.json import decode_json
 
 # A response normally takes a few milliseconds, and some hundred while the store is disrupted.
 CALL_TIMEOUT_SECONDS = 1.5
@@ -80,12 +81,14 @@
     """Client for objects by kind and name, with conditional updates and watches.
 
     Every method raises StoreUnavailableError if there is no usable response. A write may then
-    have taken effect, or may still take effect later while its condition holds.
+    have taken effect, or may still take effect later while its condition holds. The content of an
+    object that cannot be decoded is None.
     """
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(self, address: str, clock: Clock, log: Any) -> None:
         self._address = address
         self._clock = clock
+        self._log = log
         self._idle_connections: list[ClientConnection] = []
 
     async def close(self) -> None:
@@ -102,15 +105,16 @@
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
             page = await self._call("GET", _kind_path(kind) + query)
+            items = _read_list(page, "items")
             # Watching from the first page's revision also reports changes made while paging.
-            revision = page["store_revision"] if revision is None else revision
-            for item in page["items"]:
-                found = _decode_object(item)
-                if found is not None:
-                    objects[found.name] = found
-            if not page.get("more_pages") or not page["items"]:
+            revision = _read_revision(page) if revision is None else revision
+            found = [item for item in map(_decode_object, items) if item is not None]
+            objects.update((item.name, item) for item in found)
+            if not page.get("more_pages") or not items:
                 return Listing(objects, revision)
-            after = page["items"][-1]["metadata"]["name"]
+            if not found or found[-1].name <= after:
+                raise StoreUnavailableError(f"no object after {after!r} of {kind} can be read")
+            after = found[-1].name
 
     async def get(self, kind: str, name: str) -> StoreObject:
         """Return one object; raises ObjectMissingError."""
@@ -146,11 +150,11 @@
         path = f"{_kind_path(kind)}?watch={revision}&wait_ms={int(seconds * 1_000)}"
         response = await self._call("GET", path, timeout_seconds=seconds + WATCH_GRACE_SECONDS)
         changes = []
-        for event in response["events"]:
-            found = _decode_object(event.get("object"))
+        for event in _read_list(response, "events"):
+            found = _decode_object(event.get("object")) if isinstance(event, dict) else None
             if found is not None:
-                changes.append(ObjectChange(found, bool(event.get("removed"))))
-        return WatchAnswer(changes, response["store_revision"])
+                changes.append(ObjectChange(found, event.get("removed") is True))
+        return WatchAnswer(changes, _read_revision(response))
 
     async def _call(
         self,
@@ -172,7 +176,11 @@
                 response_head, content = await read_response(connection, MAX_RESPONSE_BYTES)
         except (TimeoutError, ConnectError, BrokenResponseError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
-        return _decode_response(response_head.status, f"{method} {path}", content)
+        call = f"{method} {path}"
+        value, undecodable = _decode_response(response_head.status, call, content)
+        if undecodable:
+            self._log.warning("the store has undecodable objects", call=call, count=undecodable)
+        return value
 
     @asynccontextmanager
     async def _acquire_connection(self) -> AsyncIterator[ClientConnection]:
@@ -226,12 +234,27 @@
     return found
 
 
-def _decode_response(status: int, call: str, content: bytes) -> Any:
+def _read_list(response: Any, name: str) -> list[Any]:
+    found = response.get(name) if isinstance(response, dict) else None
+    if not isinstance(found, list):
+        raise StoreUnavailableError(f"the store returned no {name}: {response!r:.200}")
+    return found
+
+
+def _read_revision(response: dict[str, Any]) -> int:
+    revision = response.get("store_revision")
+    if type(revision) is not int:
+        raise StoreUnavailableError(f"the store returned revision {revision!r:.50}")
+    return revision
+
+
+def _decode_response(status: int, call: str, content: bytes) -> tuple[Any, int]:
+    """Return the decoded response, and how many of its parts could not be decoded."""
     match status:
         case 200 | 201:
             try:
-                return orjson.loads(content)
-            except orjson.JSONDecodeError as error:
+                return decode_json(content)
+            except ValueError as error:
                 raise StoreUnavailableError(f"{call}: the response is not JSON") from error
         case 404:
             raise ObjectMissingError(call)
--- a/egretford/platform/stored_state.py
+++ b/egretford/platform/stored_state.py
@@ -86,7 +86,8 @@
             return None
         status = item.status if isinstance(item.status, dict) else {}
         states = {EVACUATION_RUNNING: "running", EVACUATION_DONE: "done"}
-        return states.get(status.get("phase"), "")
+        phase = status.get("phase")
+        return states.get(phase, "") if isinstance(phase, str) else ""
 
     async def mark_running(self, instance: str) -> None:
         """Set the phase of the request to running.
--- a/egretford/platform/wire.py
+++ b/egretford/platform/wire.py
@@ -21,6 +21,7 @@
     encode_head,
     strip_connection_fields,
 )
+from egretford.numbers import parse_whole_number
 
 REQUEST_ID = b"Request-Id"
 DEADLINE_MS = b"Deadline-Ms"  # a duration: how long the caller waits, not a point in time
@@ -59,8 +60,6 @@
 MISDIRECTED = 421
 _LEAVING_VALUE = "1"
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
-# Maximum number of digits of a number in a field.
-_MAX_DIGITS = 15
 
 
 def decode_request(http: HttpRequest) -> CallerRequest:
@@ -164,9 +163,10 @@
     text = headers.get_text(name)
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit() or len(text) > _MAX_DIGITS:
+    number = parse_whole_number(text)
+    if number is None:
         raise _malformed(name, "a whole number")
-    return int(text)
+    return number
 
 
 def _read_seconds(headers: Headers, name: bytes) -> float | None:
@@ -178,10 +178,12 @@
     text = headers.get_text(TOKEN_USAGE)
     if text is None:
         return 0, 0
-    prompt, _, output = text.partition(",")
-    if not (prompt.strip().isdigit() and output.strip().isdigit()) or len(text) > 2 * _MAX_DIGITS:
-        raise _malformed(TOKEN_USAGE, "two whole numbers with a comma")
-    return int(prompt), int(output)
+    numbers = [parse_whole_number(item.strip()) for item in text.split(",", 2)]
+    match numbers:
+        case [int(prompt), int(output)]:
+            return prompt, output
+        case _:
+            raise _malformed(TOKEN_USAGE, "two whole numbers with a comma")
 
 
 def _read_prompt(headers: Headers) -> tuple[PromptPart, ...]:
@@ -190,10 +192,11 @@
         return ()
     parts = []
     for item in text.split(","):
-        part, _, tokens = item.strip().partition(":")
-        if not part or not tokens.isdigit() or len(tokens) > _MAX_DIGITS:
+        part, _, text = item.strip().partition(":")
+        tokens = parse_whole_number(text)
+        if not part or tokens is None:
             raise _malformed(PROMPT_PARTS, "ID:TOKENS entries with commas")
-        parts.append(PromptPart(part, int(tokens)))
+        parts.append(PromptPart(part, tokens))
     return tuple(parts)
 
 
@@ -205,12 +208,13 @@
     text = headers.get_text(LOAD)
     if text is None:
         return None
-    numbers = [item.strip() for item in text.split(",")]
-    if len(numbers) != 3 or not all(n.isdigit() and len(n) < _MAX_DIGITS for n in numbers):
+    numbers = [parse_whole_number(item.strip()) for item in text.split(",", 3)]
+    if len(numbers) != 3 or None in numbers:
         return None
-    return WorkerLoad(*(int(number) for number in numbers))
+    return WorkerLoad(*numbers)
 
 
 def _read_idle_limit(headers: Headers) -> float | None:
     found = _KEEP_ALIVE_TIMEOUT.search(headers.get(b"Keep-Alive") or b"")
-    return None if found is None else float(found.group(1))
+    seconds = None if found is None else parse_whole_number(found.group(1))
+    return None if seconds is None else float(seconds)
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -24,7 +24,7 @@
 
 async def start_feed(standin, versions):
     clock = SystemClock()
-    client = MetadataStore(standin.address, clock)
+    client = MetadataStore(standin.address, clock, NullLog())
     health = StoreHealth(clock, NullLog())
     feed = build_configuration_feed(
         client, lambda table: versions.append(table.version), health, clock, NullLog()
@@ -71,7 +71,7 @@
 async def test_a_listing_goes_through_all_pages(store):
     for number in range(120):
         store.put("things", f"n{number:03d}", number)
-    client = MetadataStore(store.address, SystemClock())
+    client = MetadataStore(store.address, SystemClock(), NullLog())
     listing = await client.list_all("things")
     assert len(listing.objects) == 120
     await client.close()
@@ -80,7 +80,7 @@
 async def test_the_store_counts_as_recovered_before_its_first_listing_is_taken(store):
     """Handlers must see the recovery first: a listing after an outage may lack live workers."""
     clock = SystemClock()
-    client = MetadataStore(store.address, clock)
+    client = MetadataStore(store.address, clock, NullLog())
     health = StoreHealth(clock, NullLog())
     recovery_times = []
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 from egretford.errors import StoreUnavailableError
 from egretford.platform.store import MetadataStore
 from tests.endless import assert_memory_below, run_endless
+from tests.platform.standins import NullLog
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -27,7 +28,7 @@
 @pytest.mark.parametrize("kind", ENDLESS)
 async def test_an_endless_response_is_an_error_and_closes_its_connection(kind):
     async with run_endless(*ENDLESS[kind]) as server:
-        store = MetadataStore(server.address, SystemClock())
+        store = MetadataStore(server.address, SystemClock(), NullLog())
         with assert_memory_below(24_000_000), pytest.raises(StoreUnavailableError):
             await store.get("config", "main")
         await server.wait_disconnected()
