Skip a response without an id on a connection that had an earlier request

Seen by other operators: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that a worker was running, or these ran at a second worker. Cause here: a response without a request id was taken as the answer to the present request. Change: only the first request of a connection may be answered without an id; on a reused one such a response is skipped, like one with another id, and the answer is read.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -352,12 +352,17 @@
     async def _match_reply(
         self, job: ForwardingJob, tracked: TrackedWorker, connection: ClientConnection
     ) -> WorkerReply:
-        """Return the next response head for this request; skips responses to earlier requests."""
+        """Return the next response head for this request; skips responses to earlier requests.
+
+        On a connection that had an earlier request, this includes responses without an id, as a
+        worker may send an earlier response once more.
+        """
         bytes_left = MAX_ANSWER_BYTES
         for _ in range(MAX_STALE_RESPONSES + 1):
             reply = decode_reply(await connection.read())
             self._workers.record_reply(tracked, reply)
-            if reply.request_id in (None, job.request.id):
+            is_first = reply.request_id is None and connection.sent_requests == 1
+            if is_first or (reply.request_id or "") == job.request.id:
                 return reply
             self._log.info(
                 "skipped a response to an earlier request",
