Refuse requests that could outlast a planned stop, instead of cutting them off

Cause: an entry that stops passed requests on until 0.7 s before the end of its grace period, whatever their time, and then closed them. Change: from SIGTERM on, a request whose time ends after the grace period is refused as not run, with Connection: close and a short Retry-After; all others have ended by then. Requests whose time has just ended get 0.3 s more for their answer.

--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -29,8 +29,10 @@
 # Seconds for which new connections may still arrive after readiness was withdrawn: it is probed
 # once a second, and an instance leaves the rotation after two failed probes.
 READINESS_LAG_SECONDS = 3.0
-# Seconds of the grace period that are reserved for closing sockets and flushing the log.
+# Seconds of the grace period that are reserved for answering requests whose time has just ended,
+# closing sockets and flushing the log.
 EXIT_RESERVE_SECONDS = 0.7
+ANSWER_RESERVE_SECONDS = 0.3
 # Interval of checks for open connections while draining, in seconds.
 DRAIN_POLL_SECONDS = 0.05
 # Prefill rate of the engines, for the placement's cost estimates.
@@ -123,14 +125,21 @@
         self._settings = settings
 
     async def drain(self) -> None:
-        """Withdraw readiness, then serve until no connection is left or the grace period ends."""
+        """Withdraw readiness, then serve until no connection is left or the grace period ends.
+
+        Requests that could still be running at its end are refused, so that none is cut off.
+        """
         clock, grace = self._clock, self._settings.bounds.stop_grace
         started_at = clock.monotonic()
+        stop_at = started_at + grace - EXIT_RESERVE_SECONDS
         self._draining = True
+        self.gateway.set_stop_time(stop_at)
         self._caller_server.draining = True
         self._log.info("stopping: not ready any more", active=self._caller_server.active)
         await clock.sleep(min(READINESS_LAG_SECONDS, grace / 2))
-        while clock.monotonic() - started_at < grace - EXIT_RESERVE_SECONDS:
+        while clock.monotonic() < stop_at or self._caller_server.active:
+            if clock.monotonic() >= stop_at + ANSWER_RESERVE_SECONDS:
+                break
             self._caller_server.close_idle()
             if not self._caller_server.connections:
                 break
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -32,6 +32,8 @@
 TRANSIENT_ERRORS = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.OVERLOADED, ErrorKind.TIMEOUT})
 # Range of the random Retry-After, in seconds, while this entry has no configuration.
 STARTING_RETRY_SECONDS = (0.3, 0.6)
+# Range of the random Retry-After, in seconds, while this entry stops: others take the request.
+STOPPING_RETRY_SECONDS = (0.02, 0.1)
 _RETRYABLE_STATUS = 503
 
 
@@ -63,6 +65,7 @@
         self._index: RouteIndex | None = None
         self._server: HttpServer | None = None
         self._detached: set[asyncio.Task[None]] = set()
+        self._stop_at: float | None = None
 
     @property
     def configuration_version(self) -> int | None:
@@ -73,6 +76,13 @@
         """Set the server whose request limits follow the configuration."""
         self._server = server
 
+    def set_stop_time(self, stop_at: float) -> None:
+        """Refuse requests from now on that may still be running at `stop_at`, in monotonic seconds.
+
+        The others are served, and have ended by then.
+        """
+        self._stop_at = stop_at
+
     def apply_configuration(self, table: RoutingTable) -> None:
         """Put a configuration in force, unless it is not newer than the current one."""
         current_version = self.configuration_version
@@ -131,6 +141,12 @@
         limit = route.timeout
         if request.time_budget is not None:
             limit = min(limit, request.time_budget)
+        if self._stop_at is not None and started + limit > self._stop_at:
+            raise RequestError(
+                ErrorKind.NOT_READY,
+                "this instance stops before the request is sure to have ended",
+                retry_after_seconds=self._rng.uniform(*STOPPING_RETRY_SECONDS),
+            )
         fingerprint = make_fingerprint(request.http.target, request.http.peer, request.http.body)
         if self._crashes.blocks(fingerprint):
             raise RequestError(ErrorKind.QUARANTINED, "such a request crashed several workers")
--- /dev/null
+++ b/tests/platform/test_planned_stop.py
@@ -0,0 +1,112 @@
+"""A planned stop of an entry: every request is answered, or refused as not run, in time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from attrs import evolve
+
+from egretford.http.client import ClientConnection
+from egretford.instance import DeploymentBounds
+from tests.platform.deployment import run_deployment
+
+GRACE_SECONDS = 3.0
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with run_deployment(tmp_path) as running:
+        entry = running.entries[0]
+        bounds = DeploymentBounds(stop_grace=GRACE_SECONDS)
+        entry.reload(evolve(entry._settings, bounds=bounds))
+        yield running
+
+
+def make_slow(deployment, seconds: float) -> None:
+    async def wait(worker, arrival, responder):
+        await asyncio.sleep(seconds)
+        return False
+
+    for worker in deployment.workers:
+        worker.script = wait
+
+
+async def stop(deployment) -> None:
+    """Stop the first entry as its process does after SIGTERM."""
+    entry = deployment.entries[0]
+    async with asyncio.timeout(GRACE_SECONDS):
+        await entry.drain()
+        await entry.close()
+
+
+async def ask(deployment, path, connection=None, **options):
+    caller = deployment.callers[0]
+    if connection is None:
+        connection = await ClientConnection.open(caller.address, 1.0)
+    try:
+        return await caller.ask(path, connection=connection, **options)
+    finally:
+        connection.close()
+
+
+# Guards against a request that is taken near the end of the grace period and cut off with it.
+@pytest.mark.parametrize("path", ["/book/1", "/chat/1", "/ping/1"])
+async def test_a_request_that_could_outlast_the_grace_period_is_refused_as_not_run(
+    deployment, path
+):
+    make_slow(deployment, 1.5)
+    stopping = asyncio.create_task(stop(deployment))
+    await asyncio.sleep(1.2)
+    answer = await ask(deployment, path, request_id="late")
+    assert answer.status == 503
+    assert answer.headers.get(b"Connection") == b"close"
+    assert float(answer.headers.get_text(b"Retry-After")) < 0.2
+    assert not deployment.arrivals("late")
+    await stopping
+
+
+# Guards against refusals of requests that are sure to end in time.
+async def test_a_request_that_ends_within_the_grace_period_is_served(deployment):
+    make_slow(deployment, 0.3)
+    stopping = asyncio.create_task(stop(deployment))
+    await asyncio.sleep(1.4)
+    answer = await ask(deployment, "/book/1", request_id="short", deadline_ms=800)
+    assert answer.status == 200
+    await stopping
+
+
+# Guards against requests on kept connections, sent one after the other as fast as possible, that
+# are cut off without an answer while a stop is under way.
+async def test_no_request_on_kept_connections_is_cut_off_under_load(deployment):
+    make_slow(deployment, 0.02)
+    outcomes: list[int] = []
+    address = deployment.callers[0].address
+
+    async def send_requests(number: int) -> None:
+        for count in range(1_000):
+            try:
+                connection = await ClientConnection.open(address, 0.3)
+            except Exception:
+                return
+            for turn in range(5):
+                request_id = f"k{number}-{count}-{turn}"
+                try:
+                    answer = await deployment.callers[0].ask(
+                        "/book/1", connection=connection, request_id=request_id
+                    )
+                except Exception:
+                    # A request that crosses the close was not passed on.
+                    assert not deployment.arrivals(request_id)
+                    break
+                assert answer.is_complete
+                outcomes.append(answer.status)
+                if answer.headers.get(b"Connection") == b"close":
+                    break
+            connection.close()
+
+    senders = [asyncio.create_task(send_requests(number)) for number in range(8)]
+    await asyncio.sleep(0.3)
+    await stop(deployment)
+    await asyncio.gather(*senders)
+    assert set(outcomes) <= {200, 503} and outcomes.count(200) > 50
