Entries read the configuration and the worker list through keepers of their failure domain

Change: an entry follows two active keepers of its failure domain, the same two as its neighbours; the keepers watch the store while entries ask. The second one only says that there are changes.

--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -11,6 +11,7 @@
 from egretford.entry.gateway import Gateway
 from egretford.entry.keepers import KeeperClient
 from egretford.entry.origins import StreamOrigins
+from egretford.entry.relayed_store import RelayedStore
 from egretford.entry.turns import Turns
 from egretford.entry.workers import WorkerTable
 from egretford.http.limits import RequestLimits
@@ -89,11 +90,21 @@
         )
         self.gateway.attach_server(self._caller_server)
         feed_log = self._make_logger("feeds")
+        self._relays = StreamPeerClient(KeeperRequest, KeeperReply)
+        source = RelayedStore(
+            self._store,
+            self._relays,
+            self._keepers.list_relays,
+            self._health,
+            clock,
+            rng,
+            self._make_logger("relays"),
+        )
         self._feeds = [
             build_configuration_feed(
-                self._store, self.gateway.apply_configuration, self._health, clock, feed_log
+                source, self.gateway.apply_configuration, self._health, clock, feed_log
             ),
-            build_worker_feed(self._store, self.workers, self._health, clock, feed_log),
+            build_worker_feed(source, self.workers, self._health, clock, feed_log),
         ]
         self._draining = False
         self._was_ready = False
@@ -160,6 +171,7 @@
         await self._crashes.close()
         await self._keepers.close()
         await self._peers.close()
+        await self._relays.close()
         await self._store.close()
 
     async def _answer_readiness(self, http: HttpRequest, responder: Responder) -> None:
--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -265,6 +265,7 @@
             connection.send(
                 encode_request(job.request, tracked.worker, seconds_left, job.body, resume_after)
             )
+            connection.forwarded_requests += 1
             job.attempt_sent = True
             job.offers += 1
             job.history.record_sent(tracked.worker.id)
@@ -354,14 +355,14 @@
     ) -> WorkerReply:
         """Return the next response head for this request; skips responses to earlier requests.
 
-        On a connection that had an earlier request, this includes responses without an id, as a
-        worker may send an earlier response once more.
+        On a connection that had an earlier caller's request, this includes responses without an
+        id, as a worker may send an earlier response once more.
         """
         bytes_left = MAX_ANSWER_BYTES
         for _ in range(MAX_STALE_RESPONSES + 1):
             reply = decode_reply(await connection.read())
             self._workers.record_reply(tracked, reply)
-            is_first = reply.request_id is None and connection.sent_requests == 1
+            is_first = reply.request_id is None and connection.forwarded_requests == 1
             if is_first or (reply.request_id or "") == job.request.id:
                 return reply
             self._log.info(
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -193,6 +193,16 @@
         self.view = view
         self._peers.keep_only({member.address for member in view.members})
 
+    def list_relays(self) -> list[Member] | None:
+        """Return the active keepers of the own failure domain by name; None without a view.
+
+        All entries of the domain use them in the same order, so that few relays read the store.
+        """
+        if self.view.number == 0:
+            return None
+        near = [m for m in self.view.active if m.failure_domain == self._failure_domain]
+        return sorted(near, key=lambda member: member.name)
+
     @property
     def copies(self) -> int:
         """The number of keepers that must hold a turn: one more than may be lost."""
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -67,7 +67,7 @@
     """One connection to a server at `address` (IP:PORT).
 
     Usage: `send`, then `read` until BodyEnd, then `finish`. `idle_limit` is the server's keep-alive
-    time in seconds, if it announced one; `sent_requests` counts all requests of the connection.
+    time in seconds, if it announced one; `forwarded_requests` counts callers' requests sent on it.
     """
 
     def __init__(self, address: str) -> None:
@@ -75,7 +75,7 @@
         self.reusable = True
         self.idle_since = 0.0
         self.idle_limit: float | None = None
-        self.sent_requests = 0
+        self.forwarded_requests = 0
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
         self._buffered_bytes = 0
@@ -109,7 +109,6 @@
     def send(self, data: bytes) -> None:
         """Send a complete, encoded request; its response can be read from then on."""
         self._awaiting_response = True
-        self.sent_requests += 1
         self._received_any = False
         self._framing_bytes = 0
         self._transport.write(data)
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -14,13 +14,14 @@
 from egretford.keeper.handover import TurnHandover
 from egretford.keeper.log import DiskLog, DurableMarker, write_file_durably
 from egretford.keeper.membership import Membership
-from egretford.keeper.messages import KeeperReply, KeeperRequest
+from egretford.keeper.messages import KeeperReply, KeeperRequest, WatchObjects
+from egretford.keeper.object_relay import ObjectRelay
 from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
 from egretford.logs import make_logger
 from egretford.metrics import Metrics
 from egretford.peer.streams import StreamPeerClient, StreamPeerServer
-from egretford.platform.documents import EVACUATIONS_KIND
+from egretford.platform.documents import ENTRY_KINDS, EVACUATIONS_KIND
 from egretford.platform.feeds import ObjectFeed, StoreHealth
 from egretford.platform.store import MetadataStore
 from egretford.platform.stored_state import StoredEvacuations, StoredView
@@ -60,7 +61,7 @@
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
         self._server = StreamPeerServer(
             f"tcp://{settings.peer_address}",
-            self._service.answer,
+            self._answer,
             self._make_logger("peer"),
             KeeperRequest,
             KeeperReply,
@@ -85,6 +86,9 @@
         self._feed = ObjectFeed(
             self._store, EVACUATIONS_KIND, evacuations, health, clock, self._make_logger("feeds")
         )
+        self._relay = ObjectRelay(
+            self._store, ENTRY_KINDS, health, clock, self._make_logger("relay")
+        )
         handover = TurnHandover(
             self._service,
             self._records,
@@ -106,6 +110,11 @@
             self._make_logger("membership"),
         )
 
+    async def _answer(self, message: KeeperRequest) -> KeeperReply:
+        if isinstance(message, WatchObjects):
+            return await self._relay.answer(message)
+        return await self._service.answer(message)
+
     def _make_logger(self, part: str) -> Any:
         return make_logger(part, instance=self._settings.name)
 
@@ -120,6 +129,7 @@
         self._service.load_view(self._completions.load())
         await self._server.start()
         await self._feed.start()
+        await self._relay.start()
         await self._copier.start()
         await self._membership.start()
         self._tasks.spawn(
@@ -152,6 +162,7 @@
         await self._membership.close()
         await self._copier.close()
         await self._feed.close()
+        await self._relay.close()
         await self._server.close()
         await self._peers.close()
         await self._store.close()
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -180,6 +180,46 @@
     crashes: tuple[Crash, ...]
 
 
+@frozen
+class WatchObjects:
+    """Waits up to `seconds` for changes of stored objects of a kind after a revision.
+
+    Without a revision, all objects are listed. Without `with_contents`, the reply only says whether
+    there are changes.
+    """
+
+    kind: str
+    revision: int | None
+    seconds: float
+    with_contents: bool = True
+
+
+@frozen
+class RelayedObject:
+    """A stored object as JSON, or the fact that it was removed."""
+
+    name: str
+    revision: int
+    content: bytes
+    removed: bool = False
+
+
+@frozen
+class RelayedChanges:
+    """Changes of stored objects up to `revision`; with `is_listing`, all objects instead.
+
+    `age` is how long ago the store last answered the keeper that replies, in seconds; `recovered`
+    how long ago it became available again, None if it was never unavailable.
+    """
+
+    revision: int
+    age: float
+    recovered: float | None
+    has_changes: bool
+    is_listing: bool
+    objects: tuple[RelayedObject, ...]
+
+
 @frozen
 class OutdatedView:
     """The request was sent under an older view; retry it under `view`."""
@@ -199,13 +239,14 @@
     reason: str
 
 
-KeeperRequest = AdoptView | Reserve | Keep | ListRecords | FetchTurns | ShareCrashes
+KeeperRequest = AdoptView | Reserve | Keep | ListRecords | FetchTurns | ShareCrashes | WatchObjects
 KeeperReply = (
     Reserved
     | Kept
     | RecordPage
     | TurnPage
     | CrashList
+    | RelayedChanges
     | OutdatedView
     | UnknownView
     | NotReady
--- a/egretford/platform/documents.py
+++ b/egretford/platform/documents.py
@@ -20,6 +20,8 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 WORKERS_KIND = "servers"
+# The kinds that entries read.
+ENTRY_KINDS = frozenset({CONFIGURATION_KIND, WORKERS_KIND})
 EVACUATIONS_KIND = "retirements"
 EVACUATION_RUNNING = "running"
 EVACUATION_DONE = "completed"
--- a/egretford/platform/feeds.py
+++ b/egretford/platform/feeds.py
@@ -19,9 +19,9 @@
 from egretford.platform.store import (
     HistoryGoneError,
     Listing,
-    MetadataStore,
     ObjectChange,
     StoreObject,
+    WatchAnswer,
 )
 
 # Wait of one watch; if there is no response soon after, the next one uses a new connection.
@@ -65,6 +65,11 @@
             self.failing_since = self._clock.monotonic()
             self._log.warning("the store does not answer", error=str(error))
 
+    def adopt_recovery(self, recovered_at: float) -> None:
+        """Take over from another process that the store recovered at a time, unless known later."""
+        if self.recovered_at is None or recovered_at > self.recovered_at:
+            self.recovered_at = recovered_at
+
     def record_success(self) -> None:
         """Record a call that succeeded; logs the end of an outage."""
         if self.failing_since is not None:
@@ -84,24 +89,49 @@
         """Apply one change; with `removed`, `item` is the last state of a deleted object."""
 
 
+class ObjectSource(Protocol):
+    """Where a feed reads objects; see MetadataStore for both methods."""
+
+    async def list_all(self, kind: str) -> Listing:
+        """Return all objects of a kind."""
+
+    async def watch(self, kind: str, revision: int, seconds: float) -> WatchAnswer:
+        """Wait up to `seconds` for changes after `revision`."""
+
+
+class FeedObserver(Protocol):
+    """Is told of each response and each failure of a feed's source."""
+
+    def record_contact(self, revision: int) -> None:
+        """Record that all changes up to `revision` have been passed on."""
+
+    def record_failure(self) -> None:
+        """Record that the source did not respond."""
+
+
 class ObjectFeed:
     """Keeps a handler up to date with one kind of objects.
 
     Lists all objects once, then watches for changes. Lists again if the store no longer has the
-    history that the watch needs. `pause` is in seconds and follows every response with changes.
+    history that the watch needs. `pause` is in seconds and follows every response with changes;
+    `watch_seconds` is the wait of one watch.
     """
 
     def __init__(
         self,
-        store: MetadataStore,
+        store: ObjectSource,
         kind: str,
         handler: ObjectHandler,
         health: StoreHealth,
         clock: Clock,
         log: Any,
         pause: float = CONFIGURATION_PAUSE_SECONDS,
+        watch_seconds: float = WATCH_SECONDS,
+        observer: FeedObserver | None = None,
     ) -> None:
         self._pause = pause
+        self._watch_seconds = watch_seconds
+        self._observer = observer
         self._store = store
         self._kind = kind
         self._handler = handler
@@ -128,6 +158,8 @@
                 self._revision = None
             except StoreUnavailableError as error:
                 self._health.record_failure(error)
+                if self._observer is not None:
+                    self._observer.record_failure()
                 await self._clock.sleep(RETRY_SECONDS)
             except Exception as error:
                 # The process goes on with what it knows, and reads everything again.
@@ -140,17 +172,24 @@
             listing = await self._store.list_all(self._kind)
             self._health.record_success()
             self._handler.replace_all(listing)
-            self._revision = listing.revision
+            self._advance(listing.revision)
             return
-        seconds = WATCH_SECONDS if self._health.is_stable else RECOVERY_WATCH_SECONDS
+        seconds = self._watch_seconds
+        if not self._health.is_stable:
+            seconds = min(seconds, RECOVERY_WATCH_SECONDS)
         response = await self._store.watch(self._kind, self._revision, seconds)
         self._health.record_success()
         for change in response.changes:
             self._apply(change)
-        self._revision = response.revision
+        self._advance(response.revision)
         if response.changes:
             await self._clock.sleep(self._pause)
 
+    def _advance(self, revision: int) -> None:
+        self._revision = revision
+        if self._observer is not None:
+            self._observer.record_contact(revision)
+
     def _apply(self, change: ObjectChange) -> None:
         """Pass on one change; an error in one object must not keep back the changes of others."""
         try:
@@ -232,7 +271,7 @@
 
 
 def build_configuration_feed(
-    store: MetadataStore,
+    store: ObjectSource,
     on_configuration: Callable[[RoutingTable], None],
     health: StoreHealth,
     clock: Clock,
@@ -244,7 +283,7 @@
 
 
 def build_worker_feed(
-    store: MetadataStore, listener: WorkerListener, health: StoreHealth, clock: Clock, log: Any
+    store: ObjectSource, listener: WorkerListener, health: StoreHealth, clock: Clock, log: Any
 ) -> ObjectFeed:
     """Return a feed that keeps `listener` up to date with the worker list."""
     handler = WorkersHandler(listener, log)
