--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -26,6 +26,7 @@
 from egretford.platform.store import MetadataStore
 from egretford.platform.stored_state import StoredView
 from egretford.policy.placement import Placement
+from egretford.policy.relays import compute_watch_seconds
 
 # Seconds for which new connections may still arrive after readiness was withdrawn: it is probed
 # once a second, and an instance leaves the rotation after two failed probes.
@@ -95,6 +96,7 @@
             self._store,
             self._relays,
             self._keepers.list_relays,
+            compute_watch_seconds(settings.bounds.change_limit),
             self._health,
             clock,
             rng,
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -27,6 +27,7 @@
 )
 from egretford.peer.interface import Peers
 from egretford.policy.groups import GroupCache, count_group_quorum, list_active
+from egretford.policy.relays import rank_relays
 from egretford.policy.turn_replicas import rank_turn_keepers
 from egretford.policy.views import Member, View
 
@@ -194,14 +195,13 @@
         self._peers.keep_only({member.address for member in view.members})
 
     def list_relays(self) -> list[Member] | None:
-        """Return the active keepers of the own failure domain by name; None without a view.
+        """Return the active keepers of the own region that relay objects; None without a view.
 
-        All entries of the domain use them in the same order, so that few relays read the store.
+        Returns none if a region has too few. See `rank_relays` for the order.
         """
         if self.view.number == 0:
             return None
-        near = [m for m in self.view.active if m.failure_domain == self._failure_domain]
-        return sorted(near, key=lambda member: member.name)
+        return rank_relays(self.view.active, self._failure_domain, self._regions)
 
     @property
     def copies(self) -> int:
--- a/egretford/entry/relayed_store.py
+++ b/egretford/entry/relayed_store.py
@@ -1,4 +1,4 @@
-"""Reads stored objects through keepers of the own failure domain, or else from the store itself."""
+"""Reads stored objects through keepers of the own region, or else from the store itself."""
 
 from __future__ import annotations
 
@@ -32,13 +32,13 @@
 # How much longer than its wait a reply may take, with a listing of about 1 MB.
 REPLY_GRACE_SECONDS = 1.0
 LISTING_WAIT_SECONDS = 2.0
-# A relay whose last answer from the store is older than this is not followed; one in good order
-# hears from it every second.
-MAX_AGE_SECONDS = 2.2
+# How much longer than the wait of its watches a relay that is followed may not have heard from the
+# store: a watch of a silent store is given up within this time.
+MAX_EXTRA_AGE_SECONDS = 1.2
 # Lead of the first relay over the second one when both have changes.
 LEAD_SECONDS = 0.2
 # Seconds for which a relay that failed is not asked again.
-UNAVAILABLE_SECONDS = 1.0
+UNAVAILABLE_SECONDS = 3.0
 # Longest time to wait at the first listing for the view, which names the relays.
 VIEW_WAIT_SECONDS = 0.7
 VIEW_POLL_SECONDS = 0.05
@@ -61,8 +61,9 @@
 class RelayedStore:
     """An ObjectSource that spares the store: it asks relays, and the store if too few answer.
 
-    `list_relays` returns the keepers of the own failure domain, in the same order at all of its
-    entries, and None while no view is known.
+    `list_relays` returns the keepers that may be asked, nearest first and in the same order at all
+    entries of a failure domain, and None while no view is known. `watch_seconds` is the wait of
+    their watches.
     """
 
     def __init__(
@@ -70,11 +71,13 @@
         store: ObjectSource,
         peers: Peers,
         list_relays: Callable[[], list[Member] | None],
+        watch_seconds: float,
         health: StoreHealth,
         clock: Clock,
         rng: random.Random,
         log: Any,
     ) -> None:
+        self._watch_seconds = watch_seconds
         self._store = store
         self._peers = peers
         self._list_relays = list_relays
@@ -151,7 +154,7 @@
         )
         if not isinstance(reply, RelayedChanges):
             raise RelayError(getattr(reply, "reason", type(reply).__name__))
-        if reply.age > MAX_AGE_SECONDS:
+        if reply.age > self._watch_seconds + MAX_EXTRA_AGE_SECONDS:
             raise RelayError(f"the store last answered {reply.age:.1f} s ago")
         if reply.recovered is not None:
             self._health.adopt_recovery(self._clock.monotonic() - reply.recovered)
@@ -173,6 +176,7 @@
         self._revision = revision
         self._seconds = seconds
         self._pending: dict[asyncio.Future[Any], _Watch] = {}
+        self._failures = 0
         self.spare: list[Member] = []
 
     def follow(self, relay: Member, *, with_contents: bool, after: float = 0.0) -> None:
@@ -226,10 +230,13 @@
                 self.follow(others[0], with_contents=True)
             return
         self._owner._record_failure(failed.relay, error)
+        self._failures += 1
+        follows_store = any(watch.relay is None for watch in watches)
         if self.spare:
             has_contents = any(watch.with_contents for watch in watches)
             self.follow(self.spare.pop(0), with_contents=not has_contents)
-        elif all(watch.relay is not None for watch in watches):
+        if (not self.spare or self._failures >= RELAYS) and not follows_store:
+            # Whatever silenced so many relays may have silenced the others too.
             self.follow_store()
 
     def _build_answer(self, reply: RelayedChanges) -> WatchAnswer:
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -289,14 +289,20 @@
     return head, await read_body(connection, limit)
 
 
-async def read_body(connection: ClientConnection, limit: int) -> bytes:
+async def read_body(
+    connection: ClientConnection, limit: int, *, idle_seconds: float | None = None
+) -> bytes:
     """Read the body of a response whose head has been read.
 
-    Raises BrokenResponseError. A body over `limit` bytes closes the connection and raises
-    ResponseTooLargeError.
+    Raises BrokenResponseError, and TimeoutError if no part of the body arrives for `idle_seconds`.
+    A body over `limit` bytes closes the connection and raises ResponseTooLargeError.
     """
     body = bytearray()
-    while not isinstance(event := await connection.read(), BodyEnd):
+    while True:
+        async with asyncio.timeout(idle_seconds):
+            event = await connection.read()
+        if isinstance(event, BodyEnd):
+            return bytes(body)
         if isinstance(event, BodyPart):
             body += event.data
         if len(body) > limit:
@@ -304,4 +310,3 @@
             raise ResponseTooLargeError(
                 f"{connection.address}: the body exceeds {limit} bytes", received=True
             )
-    return bytes(body)
--- a/egretford/instance.py
+++ b/egretford/instance.py
@@ -7,9 +7,14 @@
 
 @frozen
 class DeploymentBounds:
-    """Limits set by the deployment; `stop_grace` is the time allowed for stopping, in seconds."""
+    """Limits set by the deployment, in seconds.
+
+    `stop_grace` is the time allowed for stopping. Within `change_limit`, a new configuration must
+    be in force, and a leaving worker must get no more requests.
+    """
 
     stop_grace: float
+    change_limit: float = 2.5
 
 
 @frozen
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -25,6 +25,7 @@
 from egretford.platform.feeds import ObjectFeed, StoreHealth
 from egretford.platform.store import MetadataStore
 from egretford.platform.stored_state import StoredEvacuations, StoredView
+from egretford.policy.relays import compute_watch_seconds
 from egretford.policy.views import Member
 
 DISK_ID_FILE = "disk-id"
@@ -87,7 +88,12 @@
             self._store, EVACUATIONS_KIND, evacuations, health, clock, self._make_logger("feeds")
         )
         self._relay = ObjectRelay(
-            self._store, ENTRY_KINDS, health, clock, self._make_logger("relay")
+            self._store,
+            ENTRY_KINDS,
+            compute_watch_seconds(settings.bounds.change_limit),
+            health,
+            clock,
+            self._make_logger("relay"),
         )
         handover = TurnHandover(
             self._service,
--- a/egretford/keeper/object_relay.py
+++ b/egretford/keeper/object_relay.py
@@ -1,4 +1,4 @@
-"""Relays stored objects to the entries of a keeper's failure domain.
+"""Relays stored objects to the entries near a keeper.
 
 So the number of calls to the store, and of copies that cross the link between regions, does not
 grow with the number of entries. What is relayed is a copy with its age; the store remains the
@@ -19,9 +19,6 @@
 from egretford.platform.feeds import ObjectFeed, ObjectSource, StoreHealth
 from egretford.platform.store import Listing, StoreObject
 
-# Wait of one watch of the store. A relay that is cut off silently detects it after this time and a
-# grace of 0.7 s, well within the 2.5 s in which entries must learn of a change.
-WATCH_SECONDS = 1.0
 # Pause after a response with changes, which collects changes that come in groups.
 PAUSE_SECONDS = 0.2
 # A kind that no entry has asked for during this time is not watched any more.
@@ -100,18 +97,23 @@
 
 
 class ObjectRelay:
-    """Watches kinds of stored objects while entries ask for them, and answers the entries."""
+    """Watches kinds of stored objects while entries ask for them, and answers the entries.
+
+    `watch_seconds` is the wait of one watch of the store.
+    """
 
     def __init__(
         self,
         store: ObjectSource,
         kinds: frozenset[str],
+        watch_seconds: float,
         health: StoreHealth,
         clock: Clock,
         log: Any,
     ) -> None:
         self._store = store
         self._kinds = kinds
+        self._watch_seconds = watch_seconds
         self._health = health
         self._clock = clock
         self._log = log
@@ -169,7 +171,7 @@
             self._clock,
             self._log,
             pause=PAUSE_SECONDS,
-            watch_seconds=WATCH_SECONDS,
+            watch_seconds=self._watch_seconds,
             observer=kind,
         )
         await feed.start()
--- a/egretford/platform/settings.py
+++ b/egretford/platform/settings.py
@@ -35,6 +35,10 @@
     return _SettingsReader(str(path), document).read()
 
 
+# Time in which changes must be in force if the settings don't say, in milliseconds.
+DEFAULT_LIMIT_MS = 2_500
+
+
 class _SettingsReader:
     """Reads all fields and collects every problem, so that one InputError reports them all."""
 
@@ -58,6 +62,13 @@
             store_address=self._read_field("provider.address", str, ""),
             bounds=DeploymentBounds(
                 stop_grace=float(self._read_field("bounds.grace_s", (int, float), 0)),
+                change_limit=min(
+                    self._read_field(
+                        f"bounds.{name}", (int, float), DEFAULT_LIMIT_MS, required=False
+                    )
+                    for name in ("config_apply_ms", "drain_ms")
+                )
+                / 1_000,
             ),
             # Counts instances only; tolerating the loss of a whole failure domain is not required.
             tolerated_losses=self._read_field("fault_tolerance.machines", int, 0),
--- a/egretford/platform/store.py
+++ b/egretford/platform/store.py
@@ -22,14 +22,18 @@
     BrokenResponseError,
     ClientConnection,
     ConnectError,
-    read_response,
+    read_body,
 )
 from egretford.http.messages import encode_head
 from egretford.platform.json import decode_json
 
-# A response normally takes a few milliseconds, and some hundred while the store is disrupted.
+# A response normally begins after a few milliseconds, and some hundred while the store is disrupted.
 CALL_TIMEOUT_SECONDS = 1.5
 CONNECT_TIMEOUT_SECONDS = 0.5
+# Longest pause between two parts of a response, and longest time for all of it. A listing takes
+# seconds if many instances read it over one link; giving up would only begin it from the start.
+MAX_STALL_SECONDS = 1.5
+MAX_TRANSFER_SECONDS = 10.0
 # How much later than its wait a watch may respond before its connection is closed as silent.
 WATCH_GRACE_SECONDS = 0.7
 MAX_IDLE_CONNECTIONS = 4
@@ -171,9 +175,14 @@
             fields.append((b"Content-Length", b"%d" % len(data)))
         head = encode_head(f"{method} {path} HTTP/1.1".encode(), fields)
         try:
-            async with asyncio.timeout(timeout_seconds), self._acquire_connection() as connection:
+            async with self._acquire_connection() as connection:
                 connection.send(head + data)
-                response_head, content = await read_response(connection, MAX_RESPONSE_BYTES)
+                async with asyncio.timeout(timeout_seconds):
+                    response_head = await connection.read()
+                async with asyncio.timeout(MAX_TRANSFER_SECONDS):
+                    content = await read_body(
+                        connection, MAX_RESPONSE_BYTES, idle_seconds=MAX_STALL_SECONDS
+                    )
         except (TimeoutError, ConnectError, BrokenResponseError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
         call = f"{method} {path}"
