--- a/egretford/platform/store.py
+++ b/egretford/platform/store.py
@@ -27,7 +27,7 @@
 from egretford.http.messages import encode_head
 from egretford.platform.json import decode_json
 
-# A response normally begins after a few milliseconds, and some hundred while the store is disrupted.
+# A response begins after a few milliseconds, and some hundred while the store is disrupted.
 CALL_TIMEOUT_SECONDS = 1.5
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Longest pause between two parts of a response, and longest time for all of it. A listing takes
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -48,7 +48,9 @@
 
     async def handle(self, http, responder):
         responder.start_stream(200, Headers())
-        for part, pause in zip((b'{"metadata":{"name":"m",', b'"revision":1}}'), self.pauses):
+        for part, pause in zip(
+            (b'{"metadata":{"name":"m",', b'"revision":1}}'), self.pauses, strict=True
+        ):
             await asyncio.sleep(pause)
             await responder.write(part)
         responder.finish_stream()
