An entry that reaches too few keepers is not ready; crashes are sent until a keeper has them

It now counts the keepers whose last answer it got, and while too few answer it asks several of them once a second, so that it returns to the rotation without a caller's request.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from egretford.clock import Clock
@@ -48,14 +49,21 @@
         return self._table.blocks(fingerprint, self._clock.monotonic())
 
     async def _share(self) -> None:
-        """Send new crashes to all keepers, or only fetch others' crashes from the nearest."""
-        members = self._keepers.rank_by_distance(self._keepers.list_available())
+        """Send new crashes to all keepers, or only fetch others' crashes from the nearest.
+
+        Crashes that no keeper received are sent again the next time.
+        """
         new_crashes, self._unsent = tuple(self._unsent), []
-        for member in members if new_crashes else members[:1]:
-            try:
-                reply = await self._keepers.send_request(member, ShareCrashes(new_crashes))
-            except EgretfordError:
-                # The keeper client logs the error; the other keepers get the crashes as well.
-                continue
-            if isinstance(reply, CrashList):
-                self._table.merge(reply.crashes, self._clock.monotonic())
+        targets = self._keepers.list_available() if new_crashes else self._keepers.list_probed()
+        message = ShareCrashes(new_crashes)
+        requests = [self._keepers.send_request(member, message) for member in targets]
+        outcomes = await asyncio.gather(*requests, return_exceptions=True)
+        lists = [reply for reply in outcomes if isinstance(reply, CrashList)]
+        if not lists:
+            self._unsent = [*new_crashes, *self._unsent]
+        for reply in lists:
+            self._table.merge(reply.crashes, self._clock.monotonic())
+        for error in outcomes:
+            # The keeper client logs the errors of requests.
+            if isinstance(error, Exception) and not isinstance(error, EgretfordError):
+                raise error
--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -116,11 +116,14 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the entry can serve new callers and is not shutting down."""
+        """Whether the entry can serve new callers and is not shutting down.
+
+        Instances that reach too few keepers leave turns to those that reach more.
+        """
         knows_routes = self.gateway.configuration_version is not None
         knows_workers = self.workers.listed_at is not None
-        knows_keepers = self._keepers.has_enough_members
-        return knows_routes and knows_workers and knows_keepers and not self._draining
+        has_keepers = self._keepers.has_enough_members and self._keepers.reaches_quorum
+        return knows_routes and knows_workers and has_keepers and not self._draining
 
     async def start(self) -> None:
         """Open the listeners, then start the feeds from the store and the background tasks."""
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -160,6 +160,15 @@
         """Whether the view has enough active members for the required number of copies."""
         return not self._is_view_too_small()
 
+    @property
+    def reaches_quorum(self) -> bool:
+        """Whether the last requests to more keepers than may be lost were answered.
+
+        A keeper that was not asked yet counts as one that answers.
+        """
+        failing = sum(member.disk in self._unavailable_until for member in self.view.active)
+        return len(self.view.active) - failing > self._tolerated_losses
+
     async def _read_newer_view(self) -> None:
         """Read the view from the store; concurrent calls share one read, with a rate limit."""
         if self._view_read is None:
@@ -243,6 +252,11 @@
         """
         return self.has_enough_members and len(self.view.dropped) <= self._tolerated_losses
 
+    def list_probed(self) -> list[Member]:
+        """Return the members to ask for crashes: the nearest, or more while no quorum answers."""
+        members = self.rank_by_distance(self.list_available())
+        return members[:1] if self.reaches_quorum else members[: 2 * self._tolerated_losses + 1]
+
     def list_available(self) -> list[Member]:
         """Return the active members that are considered available."""
         return [member for member in self.view.active if self.is_available(member)]
--- a/tests/platform/test_keeper_outages.py
+++ b/tests/platform/test_keeper_outages.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from egretford.policy.crashes import Crash
 from tests.platform.deployment import run_deployment
 from tests.platform.test_serving import ask_turn
 
@@ -69,3 +70,34 @@
     await deployment.start_keeper("keeper-1")
     await response_task
     assert all(tracked.state.service_seconds < 0.4 for tracked in usable)
+
+
+# Guards against turns that are refused at an entry that reaches no quorum of keepers, though others
+# would serve them: it must leave the rotation, and return without a request that tries it out.
+async def test_an_entry_that_reaches_too_few_keepers_is_not_ready(deployment):
+    entry = deployment.entries[0]
+    names = list(deployment.keepers)[:2]
+    for name in names:
+        await deployment.stop_keeper(name)
+    answer = await ask_turn(deployment.callers[0], b"x", "t1")
+    assert answer.status == 503
+    assert not entry.is_ready
+    for name in names:
+        await deployment.start_keeper(name)
+    await deployment.wait_until(lambda: entry.is_ready, seconds=4.0)
+    await deployment.wait_until(lambda: deployment.count_ready() == 3)
+    assert (await ask_turn(deployment.callers[0], b"x", "t2")).status == 200
+
+
+# Guards against crashes that other entries never learn of, sent while no keeper answered.
+async def test_crashes_that_no_keeper_received_are_sent_again(deployment):
+    first, second = deployment.entries
+    names = list(deployment.keepers)
+    for name in names:
+        await deployment.stop_keeper(name)
+    for worker in ("w1", "w2", "w3"):
+        first._crashes.add(Crash("fingerprint", worker))
+    await asyncio.sleep(1.5)
+    for name in names:
+        await deployment.start_keeper(name)
+    await deployment.wait_until(lambda: second._crashes.blocks("fingerprint"), seconds=8.0)
