--- a/tests/load/relay_world.py
+++ b/tests/load/relay_world.py
@@ -89,12 +89,17 @@
 
 @define(eq=False)
 class Entry:
-    """An entry's feed; `seen` has the time and the revision of each change of `main`."""
+    """An entry's feed; `seen` has the time and the revision of each change of `main`.
+
+    `listed` has the names of all objects that the entry ever knew, `removed` those it was told are
+    gone.
+    """
 
     name: str
     feed: ObjectFeed
     seen: list[tuple[float, int]] = Factory(list)
     removed: list[str] = Factory(list)
+    listed: set[str] = Factory(set)
 
     @property
     def revision(self) -> int:
@@ -189,7 +194,9 @@
     def apply_change(self, item: StoreObject, removed: bool) -> None:
         if removed:
             self.entry.removed.append(item.name)
-        elif item.name == "main":
+            return
+        self.entry.listed.add(item.name)
+        if item.name == "main":
             self.entry.seen.append((self.world.now, item.revision))
 
 
--- a/tests/load/test_changes_at_many_entries.py
+++ b/tests/load/test_changes_at_many_entries.py
@@ -140,3 +140,19 @@
         assert not world.store.calls
 
     play(scenario)
+
+
+# Guards against a worker that has left, and is in use again after an entry has restarted: the relay
+# from which it lists was cut off from the store before the worker left.
+def test_an_entry_that_starts_lists_nothing_from_a_relay_with_an_old_copy():
+    async def scenario(world):
+        world.store.put("left", 1)
+        await asyncio.sleep(1.0)
+        world.store.cut |= {"k0", "k1"}
+        world.store.remove("left")
+        await asyncio.sleep(LIMITS[0])
+        entry = await world.start_entry("late")
+        await asyncio.sleep(3.0)
+        assert entry.seen and "left" not in entry.listed
+
+    play(scenario)
