Take no listing from a relay that is behind what the entry knew

Found by reading: after its history was gone, an entry could list from a relay whose copy is up to the allowed age older than what the entry had, so that a worker that has left was in use again for a moment. A listing older than the newest revision returned before is now skipped. tests/load/test_changes_at_many_entries.py::test_a_listing_never_goes_back_behind_what_is_known is red without the check.

--- a/egretford/entry/relayed_store.py
+++ b/egretford/entry/relayed_store.py
@@ -88,21 +88,31 @@
         self._unavailable_until: dict[str, float] = {}
         # Listings that relays sent in reply to a watch, for the next call of list_all.
         self._listings: dict[str, Listing] = {}
+        # The newest revision that was returned, by kind.
+        self._newest: dict[str, int] = {}
 
     # ObjectSource
 
     async def list_all(self, kind: str) -> Listing:
-        """Return all objects of a kind; raises StoreUnavailableError."""
-        listing = self._listings.pop(kind, None)
-        if listing is not None:
-            return listing
+        """Return all objects of a kind, as of the newest revision returned before or a later one.
+
+        Raises StoreUnavailableError.
+        """
+        listing = self._listings.pop(kind, None) or await self._read_listing(kind)
+        self._newest[kind] = max(listing.revision, self._newest.get(kind, 0))
+        return listing
+
+    async def _read_listing(self, kind: str) -> Listing:
         await self._wait_for_view()
         relays = self._list_usable()
         for relay in relays:
             try:
-                return _build_listing(await self._ask(relay, kind, None, LISTING_WAIT_SECONDS))
+                listing = _build_listing(await self._ask(relay, kind, None, LISTING_WAIT_SECONDS))
             except EgretfordError as error:
                 self._record_failure(relay, error)
+                continue
+            if listing.revision >= self._newest.get(kind, 0):
+                return listing
         if relays:
             await self._clock.sleep(self._rng.uniform(0.0, DIRECT_LISTING_SPREAD_SECONDS))
         return await self._store.list_all(kind)
@@ -112,6 +122,11 @@
 
         Raises StoreUnavailableError, and HistoryGoneError if all objects must be listed again.
         """
+        answer = await self._watch(kind, revision, seconds)
+        self._newest[kind] = max(answer.revision, self._newest.get(kind, 0))
+        return answer
+
+    async def _watch(self, kind: str, revision: int, seconds: float) -> WatchAnswer:
         relays = self._list_usable()
         if not relays:
             return await self._store.watch(kind, revision, seconds)
--- a/tests/load/test_changes_at_many_entries.py
+++ b/tests/load/test_changes_at_many_entries.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.faults.virtual import run_virtual
-from tests.load.relay_world import World
+from tests.load.relay_world import KIND, World
 
 # Times within which a configuration must be in force at every entry and a leaving worker be known,
 # at deployments of 3 and of 171 entries, in seconds.
@@ -156,3 +156,20 @@
         assert entry.seen and "left" not in entry.listed
 
     play(scenario)
+
+
+# Guards against a worker that has left, and is in use again as an entry lists anew from a relay
+# that is behind what the entry knew.
+def test_a_listing_never_goes_back_behind_what_is_known():
+    async def scenario(world):
+        world.store.put("left", 1)
+        await asyncio.sleep(1.0)
+        world.store.cut |= {"k0", "k1", "k2"}
+        world.store.remove("left")
+        source = world.entries[0].feed._store
+        known = await source._store.list_all(KIND)
+        source._newest[KIND] = known.revision
+        listing = await source.list_all(KIND)
+        assert listing.revision >= known.revision and "left" not in listing.objects
+
+    play(scenario)
