--- a/egretford/keeper/log.py
+++ b/egretford/keeper/log.py
@@ -89,7 +89,8 @@
             data = b"".join(pending.frames for pending in batch)
             try:
                 number = await loop.run_in_executor(self._executor, self._write, data)
-            except OSError as error:
+            except Exception as error:
+                # Whatever the error, callers must not wait for this batch, nor later ones for it.
                 self.log.error("disk write failed", error=repr(error), records=len(batch))
                 self._resolve(batch, error)
             else:
@@ -97,11 +98,11 @@
             self._pending_bytes -= len(data)
         self._write_task = None
 
-    def _resolve(self, batch: list[_Pending], result: int | OSError) -> None:
+    def _resolve(self, batch: list[_Pending], result: int | Exception) -> None:
         for pending in batch:
             if pending.written.done():
                 continue
-            if isinstance(result, OSError):
+            if isinstance(result, Exception):
                 pending.written.set_exception(DiskError(repr(result)))
             else:
                 pending.written.set_result(result)
@@ -111,11 +112,9 @@
         try:
             if self._file_descriptor is None or self.segments[-1].size >= SEGMENT_BYTES:
                 self._open_segment()
-            view = memoryview(data)
-            while view:
-                view = view[os.write(self._file_descriptor, view) :]
+            write_all(self._file_descriptor, data)
             os.fdatasync(self._file_descriptor)
-        except OSError:
+        except Exception:
             self._close_segment()
             raise
         self.segments[-1].size += len(data)
@@ -190,12 +189,19 @@
         os.close(descriptor)
 
 
+def write_all(descriptor: int, data: bytes) -> None:
+    """Write all bytes, in as many writes as it takes; raises OSError."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
 def write_file_durably(path: Path, data: bytes) -> None:
     """Replace a small file atomically; on failure the previous content stays."""
     temporary = path.with_suffix(".new")
     descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644)
     try:
-        os.write(descriptor, data)
+        write_all(descriptor, data)
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
--- a/egretford/keeper/membership.py
+++ b/egretford/keeper/membership.py
@@ -348,9 +348,9 @@
         self._log.warning("dropped an unresponsive keeper", keeper=dropped.name, view=view.number)
 
     async def _forget_dropped(self) -> None:
-        now = self._clock.monotonic()
-        for disk in self._service.view.dropped:
-            first_seen = self._dropped_first_seen.setdefault(disk, now)
+        now, dropped = self._clock.monotonic(), self._service.view.dropped
+        self._dropped_first_seen = {d: self._dropped_first_seen.get(d, now) for d in dropped}
+        for disk, first_seen in self._dropped_first_seen.items():
             if now - first_seen > DROPPED_RETENTION.total_seconds():
                 await self._update_view(lambda view, disk=disk: forget_dropped(view, disk))
                 return
--- a/tests/keeper/test_log.py
+++ b/tests/keeper/test_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 
 import pytest
@@ -87,3 +88,29 @@
     write_file_durably(tmp_path / "view", b"1")
     write_file_durably(tmp_path / "view", b"2")
     assert (tmp_path / "view").read_bytes() == b"2"
+
+
+# Guards against a file that is cut short, and replaces a whole one, because a write took only a part.
+def test_a_small_file_is_written_whole_by_short_writes(tmp_path, monkeypatch):
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda descriptor, data: write(descriptor, data[:3]))
+    write_file_durably(tmp_path / "view", b"0123456789")
+    assert (tmp_path / "view").read_bytes() == b"0123456789"
+
+
+# Guards against turns that wait for ever, as an unexpected error ended the task that writes.
+async def test_an_unexpected_error_fails_its_writes_and_no_later_ones(tmp_path, monkeypatch):
+    log, _ = open_log(tmp_path)
+    write_to_disk = log._write
+
+    def fail(data):
+        monkeypatch.setattr(log, "_write", write_to_disk)
+        raise ValueError("unexpected")
+
+    monkeypatch.setattr(log, "_write", fail)
+    async with asyncio.timeout(2.0):
+        with pytest.raises(DiskError):
+            await log.append([b"one"])
+        await log.append([b"two"])
+    await log.close()
+    assert open_log(tmp_path)[1] == [b"two"]
