--- a/tests/load/relay_world.py
+++ b/tests/load/relay_world.py
@@ -9,7 +9,12 @@
 
 from egretford.controllers.loops import wait_for_event
 from egretford.entry.relayed_store import RelayedStore
-from egretford.errors import PeerUnreachableError, StoreUnavailableError
+from egretford.errors import (
+    ErrorKind,
+    PeerUnreachableError,
+    RequestError,
+    StoreUnavailableError,
+)
 from egretford.keeper.messages import NotReady
 from egretford.keeper.object_relay import ObjectRelay
 from egretford.platform.feeds import ObjectFeed, StoreHealth
@@ -116,6 +121,8 @@
     entries: list[Entry] = Factory(list)
     frozen: set[str] = Factory(set)
     dead: set[str] = Factory(set)
+    # Relays of an earlier version, which do not know the message.
+    outdated: set[str] = Factory(set)
     # Pairs of an entry and a relay that cannot reach each other.
     cuts: set[tuple[str, str]] = Factory(set)
     members: tuple[Member, ...] = field(init=False, default=())
@@ -219,6 +226,8 @@
             raise PeerUnreachableError("connection refused")
         if (self.entry, address) in world.cuts:
             await asyncio.sleep(SILENCE_SECONDS)
+        if address in world.outdated:
+            raise RequestError(ErrorKind.INTERNAL, "unknown message")
         reply = await world.relays[address].answer(message)
         if address in world.frozen or (self.entry, address) in world.cuts:
             await asyncio.sleep(SILENCE_SECONDS)
--- a/tests/load/test_changes_at_many_entries.py
+++ b/tests/load/test_changes_at_many_entries.py
@@ -51,7 +51,9 @@
 
 @pytest.mark.parametrize("limit", LIMITS)
 @pytest.mark.parametrize("victims", [["k0"], ["k1"], ["k0", "k1"], ["k0", "k1", "k2", "k3"]])
-@pytest.mark.parametrize("fault", ["dead", "frozen", "cut from the store", "cut from the entries"])
+@pytest.mark.parametrize(
+    "fault", ["dead", "frozen", "cut from the store", "cut from the entries", "earlier version"]
+)
 def test_a_change_is_in_force_in_time_although_relays_fail(fault, victims, limit):
     async def scenario(world):
         await asyncio.sleep(0.37)
@@ -63,6 +65,8 @@
                     world.frozen.add(name)
                 case "cut from the store":
                     world.store.cut.add(name)
+                case "earlier version":
+                    world.outdated.add(name)
                 case "cut from the entries":
                     world.cuts |= {(entry.name, name) for entry in world.entries}
         await world.wait_for(world.store.put("main", 1), limit)
