Return no port twice to tests and local deployments

Ports are chosen at random and bound later, or again after a restart, so the same one could be returned twice, and by two test runs at once, as there were then. Not shown: which of both it was. Change: a process returns no port twice, and processes choose from different parts of the range. tests/processes/test_local_deployment.py::test_a_port_is_not_returned_again: red before.

--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -27,6 +27,9 @@
 # Below the ephemeral ports of outgoing connections, which start at 32768 on Linux, and above the
 # ports of common services.
 PORTS = range(15_000, 32_000)
+# Parts of the range, so that processes that run at once rarely choose the same port.
+PORT_SHARES = 4
+_returned_ports: set[int] = set()
 READY_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 20.0
 
@@ -48,15 +51,22 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports outside the ephemeral range.
+    """Return free ports outside the ephemeral range, none twice until all were returned.
 
     Processes bind them later, and again after a restart. By then, a port chosen by the system
-    could be the local port of an outgoing connection.
+    could be the local port of an outgoing connection. Processes that run at once choose from
+    different parts of the range, unless there are many.
     """
+    own = PORTS[os.getpid() % PORT_SHARES :: PORT_SHARES]
     found: list[int] = []
     while len(found) < count:
-        port = random.SystemRandom().choice(PORTS)
-        if port not in found and _is_free(port):
+        left = [port for port in own if port not in _returned_ports]
+        if not left:
+            _returned_ports.clear()
+            continue
+        port = random.SystemRandom().choice(left)
+        _returned_ports.add(port)
+        if _is_free(port):
             found.append(port)
     return found
 
--- a/tests/processes/test_local_deployment.py
+++ b/tests/processes/test_local_deployment.py
@@ -58,3 +58,10 @@
     first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
     ports = local.find_ports(20)
     assert len(set(ports)) == 20 and max(ports) < first
+
+
+# Guards against a process that cannot bind its port again, as the port was free while it was
+# stopped and was given to another one.
+def test_a_port_is_not_returned_again():
+    ports = [port for _ in range(800) for port in local.find_ports(1)]
+    assert len(set(ports)) == 800
