--- a/scripts/derive_capacity.py
+++ b/scripts/derive_capacity.py
@@ -1,4 +1,4 @@
-"""Generates docs/CAPACITY.md from docs/slopes.json and docs/measurements.json.
+"""Generates docs/CAPACITY_OWN_INTERFACE.md from docs/slopes.json and docs/measurements.json.
 
 `make capacity` runs it after the two measuring scripts, so that every figure of the page is
 computed from measurements.
@@ -69,7 +69,7 @@
     slopes = json.loads((DOCS / "slopes.json").read_text())
     measured = json.loads((DOCS / "measurements.json").read_text())
     page = "\n\n".join(_render(slopes, measured))
-    (DOCS / "CAPACITY.md").write_text(page + "\n")
+    (DOCS / "CAPACITY_OWN_INTERFACE.md").write_text(page + "\n")
     print(page)
     return 0
 
@@ -88,7 +88,7 @@
     ]
     worst = max(rows, key=lambda row: row.current / row.limit)
     return [
-        "# Capacity",
+        "# Capacity of the own interface",
         "Written by `make capacity` from `docs/slopes.json` and `docs/measurements.json`; both "
         "were measured on one machine with small stand-ins, so the page extrapolates. The size "
         f"is the users': {DAEMONS} daemons, {WORKERS:,} workers, {CALLS_PER_SECOND:,} requests "
