--- a/scripts/measure_slopes.py
+++ b/scripts/measure_slopes.py
@@ -1,6 +1,7 @@
 """Measures the cost to an entry of each additional program, worker, member, tenant or message.
 
-Writes docs/slopes.json, from which scripts/derive_capacity.py generates docs/CAPACITY_OWN_INTERFACE.md.
+Writes docs/slopes.json, from which scripts/derive_capacity.py generates
+docs/CAPACITY_OWN_INTERFACE.md.
 """
 
 from __future__ import annotations
