Test two disks lost one after the other with more turns than the link carries (red)

Keepers k1 and k3 are in one region, k2 alone in another, with a link of 15 Mbit/s. The second disk is lost 4.8 s after the first keeper is back, empty. What was seen:

- k1 then k3: at 4.8 s k1 has all 674 turns of k3 but 236 of 674 of k2, so it is still joining.
The view has two lost disks, nobody becomes active, and no entry serves first turns again.
- k2 then k1: 468 turns of these two are on no disk.

--- /dev/null
+++ b/tests/keeper/test_successive_losses.py
@@ -0,0 +1,68 @@
+"""Two disks lost one after the other, with more turns than the link between regions carries."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from egretford.keeper.messages import Turn
+from tests.keeper.simulation import CATCH_UP_SECONDS, LINK_BYTES_PER_SECOND, Machine, World
+from tests.keeper.test_turn_durability import run_case
+from tests.keeper.turn_faults import CALM_SECONDS
+from tests.keeper.turn_load import KeptTurn, TurnLoad
+
+TURN_BYTES = 20_000
+# The keepers k1 and k3 are in one region, k2 alone in another; as many turns of each pair as would take
+# the link between the regions 1.5 times the time for catching up.
+TURNS_PER_PAIR = int(1.5 * CATCH_UP_SECONDS * LINK_BYTES_PER_SECOND / TURN_BYTES)
+# Of these, one in so many is read from each entry; reading all would itself fill the link.
+READ_SHARE = 25
+
+
+async def store_turns(world: World, load: TurnLoad, holders: tuple[str, ...]) -> None:
+    """Let the keepers named by `holders` hold turns that an entry had them keep."""
+    for number in range(TURNS_PER_PAIR):
+        turn_id = f"{'-'.join(holders)}-{number}"
+        program = f"p-{turn_id}"
+        text = b"." * TURN_BYTES
+        turn = Turn(turn_id, None, program, text, b"answer", 60.0, holders)
+        for name in holders:
+            await world.network.machines[name].process.records.write([turn])
+        load.kept[turn_id] = KeptTurn(turn_id, program, world.now)
+        if number % READ_SHARE == 0:
+            load.tips[program] = turn_id
+
+
+async def lose_disk(world: World, machine: Machine) -> None:
+    world.kill(machine, has_power=False)
+    world.replace_disk(machine)
+    await asyncio.sleep(1.0)
+    await world.start(machine)
+
+
+async def lose_another_and_all_power(world: World, lost: Machine) -> None:
+    machines = [*world.keepers, *world.entries]
+    for machine in machines:
+        world.kill(machine, has_power=False)
+    world.replace_disk(lost)
+    await asyncio.sleep(1.0)
+    for machine in machines:
+        await world.start(machine)
+
+
+# Guards against lost turns and an end of all service: the second disk is lost right after the time
+# for catching up, while the turns of the first are still on their way between regions.
+@pytest.mark.parametrize(("first", "second"), [("k1", "k3"), ("k2", "k1")])
+def test_two_disks_lost_one_after_the_other_lose_no_turn(first, second):
+    async def scenario(world, load):
+        for holders in [("k1", "k3"), ("k1", "k2"), ("k2", "k3")]:
+            await store_turns(world, load, holders)
+        await lose_disk(world, world.network.machines[first])
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        await lose_another_and_all_power(world, world.network.machines[second])
+        await asyncio.sleep(CALM_SECONDS)
+        assert [turn_id for turn_id in load.kept if not world.list_copies(turn_id)] == []
+        await load.check_readable()
+
+    assert run_case(scenario, keepers=3).failures == []
