Let a keeper count once it has copied the charges, and fetch the turns meanwhile

Cause: a page of records was stored, and its charges with it, only after all of its turns had been fetched, and a joining keeper became active only after all pages of all members. With turns of tens of megabytes behind a link of 15 Mbit/s that takes longer than the time to catch up. The second loss then found it joining: two disks were lost in the view, more than are tolerated, so no member could become active again.

Charges are stored with each page now, and turns fetched by a second loop for each source. A keeper is active and ready once it has the charges. What needs turns asks for them: a leaving member is told how many turns the other has yet to fetch, a keeper that lacks turns says NotReady to a question for one, not that there is none, and an evacuated one begins to leave only once it has them.

The tests added to test_service are of what is new here: a field and a flag.

--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -1,12 +1,18 @@
-"""Replication between keepers: pulls missing records from each other member of the view."""
+"""Replication between keepers: pulls missing records from each other member of the view.
+
+Charges come with the list of records, turns are fetched apart: their texts may take much longer on
+a slow link than a keeper may stay away from quorums, which need no turns.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import math
+from collections.abc import Iterable
+from itertools import islice
 from typing import Any, Protocol
 
-from attrs import define
+from attrs import Factory, define
 
 from egretford.clock import Clock
 from egretford.controllers.loops import TaskGroup, wait_for_event
@@ -46,11 +52,13 @@
 class Source:
     """The state of copying from one other keeper; `last_reply_at` in monotonic seconds.
 
-    Records up to `position` were copied while the disks in `former` were active. A change of
-    members starts a new scan of all records; `scanned` is its position, and `members` the
-    members it started with.
-    `copied_view` and `copied_generation` are the newest under which all records were copied,
-    `completed_generation` the newest that the source had completed before all were copied.
+    Charges up to `position` were copied while the disks in `former` were active. A change of
+    members starts a new scan of all records; `scanned` is its position, `members` the members it
+    started with, and `is_scanned` whether it has reached the end. `missing_turns` has the ids of
+    the turns that were listed but not fetched yet, oldest first; `listed` is set with each page.
+    `charges_view` and `copied_generation` are the newest under which all charges were copied,
+    `copied_view` the newest under which all turns were, too, and `completed_generation` the newest
+    that the source had completed before its charges were copied.
     `replaced` is set once the instance replies with a different disk: this disk is lost for good.
     """
 
@@ -61,12 +69,32 @@
     former: tuple[str, ...] = ()
     scanned: int = 0
     members: tuple[Member, ...] = ()
+    is_scanned: bool = False
+    missing_turns: dict[str, None] = Factory(dict)
+    listed: asyncio.Event = Factory(asyncio.Event)
+    charges_view: int = 0
     copied_view: int = 0
     copied_generation: int = 0
     completed_generation: int = 0
     ready: bool = False
     replaced: bool = False
 
+    def start_scan(self, members: tuple[Member, ...]) -> None:
+        """Start to list all records again, as `members` must hold them."""
+        self.scanned, self.members, self.is_scanned = 0, members, False
+        self.missing_turns.clear()
+
+    def remove_missing(self, turn_ids: Iterable[str]) -> None:
+        """Take turns off those that are still to be fetched."""
+        for turn_id in turn_ids:
+            self.missing_turns.pop(turn_id, None)
+        self.update_copied_view()
+
+    def update_copied_view(self) -> None:
+        """Count all records as copied once the scan has ended and no turn is missing."""
+        if self.is_scanned and not self.missing_turns:
+            self.copied_view = self.charges_view
+
 
 class PendingFetches:
     """The turns that are being fetched, so that none is fetched from several sources at once.
@@ -79,16 +107,17 @@
         self._claimed_at: dict[str, float] = {}
         self._changed = asyncio.Event()
 
-    def claim(self, turn_ids: list[str], limit: int) -> tuple[str, ...]:
+    def claim(self, turn_ids: Iterable[str], limit: int) -> tuple[str, ...]:
         """Claim up to `limit` of the turns that nobody else is fetching, and return these."""
         now = self._clock.monotonic()
-        free = [
+        free = (
             turn_id
             for turn_id in turn_ids
             if now - self._claimed_at.get(turn_id, -math.inf) >= STALLED_FETCH_SECONDS
-        ][:limit]
-        self._claimed_at.update(dict.fromkeys(free, now))
-        return tuple(free)
+        )
+        claimed = tuple(islice(free, limit))
+        self._claimed_at.update(dict.fromkeys(claimed, now))
+        return claimed
 
     def release(self, turn_ids: tuple[str, ...]) -> None:
         """End a fetch; also one that another source has taken over, whose copy may be redundant."""
@@ -112,7 +141,7 @@
 
 
 class RecordCopier:
-    """Pulls records from the other keepers, in one polling loop for each of them.
+    """Pulls records from the other keepers: one loop for each lists them, one fetches its turns.
 
     A keeper also gets the records that it missed while it was down in this way.
     """
@@ -137,7 +166,7 @@
         self._clock = clock
         self._log = log
         self._tasks = TaskGroup()
-        self._copy_tasks: dict[str, asyncio.Task[None]] = {}
+        self._copy_tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._wakeup = asyncio.Event()
         self._fetches = PendingFetches(clock)
         self.sources: dict[str, Source] = {}
@@ -163,45 +192,54 @@
         members = {m.disk: m for m in self._service.view.members if m.disk != self._disk}
         for disk in set(self.sources) - set(members):
             del self.sources[disk]
-            task = self._copy_tasks.pop(disk)
-            if task is not asyncio.current_task():
-                task.cancel()
+            for task in self._copy_tasks.pop(disk):
+                if task is not asyncio.current_task():
+                    task.cancel()
         for disk, member in members.items():
             existing = self.sources.get(disk)
             if existing is not None:
                 existing.member = member
             else:
-                self.sources[disk] = Source(member, self._clock.monotonic())
-                self._copy_tasks[disk] = self._tasks.spawn(self._copy_from(disk))
+                source = self.sources[disk] = Source(member, self._clock.monotonic())
+                loops = (self._list_from(source), self._fetch_from(source))
+                self._copy_tasks[disk] = [self._tasks.spawn(loop) for loop in loops]
+
+    def _is_current(self, source: Source) -> bool:
+        return self.sources.get(source.member.disk) is source
+
+    def _log_failure(self, source: Source, error: EgretfordError) -> None:
+        self._log.info(
+            "could not copy from a keeper",
+            keeper=source.member.name,
+            silent_s=round(self._clock.monotonic() - source.last_reply_at, 2),
+            error=str(error),
+        )
+
+    # Listing records, with the charges
 
-    async def _copy_from(self, disk: str) -> None:
-        while (source := self.sources.get(disk)) is not None:
+    async def _list_from(self, source: Source) -> None:
+        while self._is_current(source):
             try:
                 while await self._copy_page(source):
                     pass
             except EgretfordError as error:
-                self._log.info(
-                    "could not copy from a keeper",
-                    keeper=source.member.name,
-                    silent_s=round(self._clock.monotonic() - source.last_reply_at, 2),
-                    error=str(error),
-                )
+                self._log_failure(source, error)
             await self._wait_for_next_round()
 
     async def _wait_for_next_round(self) -> None:
         await wait_for_event(self._wakeup, self._clock, COPY_INTERVAL_SECONDS)
 
     def wake(self) -> None:
-        """Wake all copy loops from their pause between polls."""
+        """Wake all listing loops from their pause between polls."""
         self._wakeup.set()
         self._wakeup = asyncio.Event()
 
     async def _copy_page(self, source: Source) -> bool:
-        """Request and store one page; returns whether to request another at once."""
+        """Request one page and store its charges; returns whether to request another at once."""
         view = self._service.view
         if source.members != view.members:
             # Which member must hold which record has changed: scan all records again.
-            source.scanned, source.members = 0, view.members
+            source.start_scan(view.members)
         message = ListRecords(
             self._disk,
             self._name,
@@ -209,23 +247,21 @@
             source.position,
             source.scanned,
             source.former,
+            missing_turns=len(source.missing_turns),
             view=view.number,
         )
         reply = await self._request(source, message)
         match reply:
             case OutdatedView():
                 await self._service.adopt(reply.view)
-                return self.sources.get(source.member.disk) is source
+                return self._is_current(source)
             case UnknownView():
                 await self._request(source, AdoptView(view))
                 return True
             case RecordPage() if not source.replaced:
                 scanned_before = source.scanned
-                if not await self._store_page(source, reply, view):
-                    return True
-                # A leaving member sees in the next request that all its records are copied.
-                is_leaving = source.member.state is MemberState.LEAVING
-                return reply.more or (is_leaving and source.scanned > scanned_before)
+                await self._store_page(source, reply, view)
+                return reply.more or self._reports_progress(source, scanned_before)
         return False
 
     async def _request(self, source: Source, message: KeeperRequest) -> KeeperReply:
@@ -240,54 +276,75 @@
             source.last_reply_at = self._clock.monotonic()
         return reply
 
-    async def _store_page(self, source: Source, page: RecordPage, view: View) -> bool:
-        """Fetch and write a page's records.
+    def _reports_progress(self, source: Source, scanned_before: int) -> bool:
+        """Whether to list at once again: so a leaving member learns that all is copied."""
+        is_leaving = source.member.state is MemberState.LEAVING
+        return is_leaving and not source.missing_turns and source.scanned > scanned_before
 
-        Returns False if the view or the disk changed before all of them were fetched.
-        """
-        missing = [turn_id for turn_id in page.turns if not self._records.has_turn(turn_id)]
-        while missing:
-            batch = self._fetches.claim(missing, MAX_FETCH_IDS)
-            if not batch:
-                await self._fetches.wait_for_change()
-            else:
-                reply = await self._fetch_batch(source, batch)
-                if not isinstance(reply, TurnPage) or source.replaced:
-                    # The page is requested again, under a newer view if there is one.
-                    return False
-                if not reply.turns:
-                    # The requested turns have expired at the source.
-                    missing = [t for t in missing if t not in batch]
-            missing = [t for t in missing if not self._records.has_turn(t)]
+    async def _store_page(self, source: Source, page: RecordPage, view: View) -> None:
+        """Write a page's charges, and note which of its turns are to be fetched."""
         await self._records.write([c for charges in page.charges for c in charges.unpack()])
         self._update_source(source, page, view)
-        return True
-
-    async def _fetch_batch(self, source: Source, batch: tuple[str, ...]) -> KeeperReply:
-        """Request turns that were claimed from `_fetches`, and write those that arrive."""
-        try:
-            message = FetchTurns(batch, view=self._service.view.number)
-            reply = await self._request(source, message)
-            if isinstance(reply, TurnPage) and not source.replaced:
-                await self._records.write(list(reply.turns))
-            return reply
-        finally:
-            self._fetches.release(batch)
 
     def _update_source(self, source: Source, page: RecordPage, view: View) -> None:
         if source.lifetime != page.lifetime:
             source.lifetime, source.position, source.former = page.lifetime, 0, ()
+            source.start_scan(source.members)
+        missing = [turn_id for turn_id in page.turns if not self._records.has_turn(turn_id)]
+        source.missing_turns.update(dict.fromkeys(missing))
+        source.listed.set()
         source.ready = page.ready
-        source.scanned = page.position
+        source.scanned, source.is_scanned = page.position, not page.more
         if source.scanned >= source.position:
             source.position = source.scanned
             source.former = list_active_after_join(view, self._disk)
         if not page.more:
-            source.copied_view = max(source.copied_view, view.number)
+            source.charges_view = max(source.charges_view, view.number)
             source.completed_generation = page.completed
             if source.copied_generation < view.generation:
                 source.copied_generation = view.generation
                 self.update_completion()
+        source.update_copied_view()
+
+    # Fetching turns
+
+    async def _fetch_from(self, source: Source) -> None:
+        while self._is_current(source):
+            try:
+                while await self._fetch_batch(source):
+                    pass
+            except EgretfordError as error:
+                self._log_failure(source, error)
+            await wait_for_event(source.listed, self._clock, COPY_INTERVAL_SECONDS)
+            source.listed.clear()
+
+    async def _fetch_batch(self, source: Source) -> bool:
+        """Fetch and write some of a source's missing turns; returns whether to go on at once."""
+        source.remove_missing([t for t in source.missing_turns if self._records.has_turn(t)])
+        if not source.missing_turns or source.replaced:
+            return False
+        batch = self._fetches.claim(source.missing_turns, MAX_FETCH_IDS)
+        if not batch:
+            await self._fetches.wait_for_change()
+            return True
+        try:
+            message = FetchTurns(batch, view=self._service.view.number)
+            reply = await self._request(source, message)
+            if not isinstance(reply, TurnPage) or source.replaced:
+                # The list of records is requested again, under a newer view if there is one.
+                self.wake()
+                return False
+            await self._records.write(list(reply.turns))
+        finally:
+            self._fetches.release(batch)
+        # Without a turn in the reply, those requested have expired at the source.
+        source.remove_missing([turn.id for turn in reply.turns] or batch)
+        if not source.missing_turns and source.member.state is MemberState.LEAVING:
+            # A leaving member sees in the next request that all its records are copied.
+            self.wake()
+        return True
+
+    # Completions
 
     def update_completion(self) -> None:
         """Complete and persist the view's generation if enough members are copied under it."""
--- a/egretford/keeper/membership.py
+++ b/egretford/keeper/membership.py
@@ -70,7 +70,7 @@
 
 
 class ReadyMarker(Protocol):
-    """A persistent flag: the disk holds all records that this keeper must hold."""
+    """A persistent flag: the disk holds all charges that this keeper must hold."""
 
     def is_set(self) -> bool:
         """Whether the flag is set, also after a restart."""
@@ -85,6 +85,8 @@
 class Membership:
     """Moves this keeper through joining, active and leaving, and drops unresponsive members.
 
+    A keeper counts once it has copied the charges of others, which quorums need. The turns, which
+    take longer, are copied meanwhile; it leaves only after that.
     `evacuated` is true once the keeper has left the view for good.
     """
 
@@ -147,6 +149,7 @@
             self._log.info("could not update the view; retrying", error=str(error))
 
     async def _step_view(self) -> None:
+        self._update_turns()
         state = self._evacuations.find(self._member.name)
         if state == "done":
             self.evacuated = True
@@ -169,7 +172,7 @@
                 await self._activate()
             case MemberState.ACTIVE if not self._service.ready:
                 await self._finish_joining()
-            case MemberState.ACTIVE if state is None:
+            case MemberState.ACTIVE if state is None or not self._service.has_all_turns:
                 await self._drop_unresponsive()
                 await self._forget_dropped()
             case _:
@@ -199,7 +202,7 @@
             await self._set_ready([])
 
     async def _activate(self) -> None:
-        """Become active once the records that other members hold under this view are copied."""
+        """Become active once the charges that other members hold under this view are copied."""
         view = self._service.view
         if self._target_view is None:
             self._target_view = view.number
@@ -224,7 +227,7 @@
         )
 
     async def _finish_joining(self) -> None:
-        """Become ready once everything written before other members adopted this view is copied."""
+        """Become ready once all charges written before others adopted this view are copied."""
         if self._target_view is None:
             self._target_view = self._service.view.number
         missing = self._list_uncopied()
@@ -239,18 +242,33 @@
             for source in sources
             if source.member.name != self._member.name
             and source.member.state is not MemberState.JOINING
-            and source.copied_view < self._target_view
+            and source.charges_view < self._target_view
         ]
 
     async def _set_ready(self, missing: list[Source]) -> None:
         await self._ready_marker.set()
         self._service.ready = True
         self._log.info(
-            "ready: all records are copied",
+            "ready: all charges are copied",
             view=self._service.view.number,
             without=[source.member.name for source in missing],
         )
 
+    def _update_turns(self) -> None:
+        """Note once all turns are copied, for the first time since this keeper counts."""
+        if self._service.has_all_turns or not self._service.ready:
+            return
+        if self._target_view is None:
+            self._target_view = self._service.view.number
+        if any(
+            source.copied_view < self._target_view and not self._is_unavailable(source)
+            for source in self._copier.sources.values()
+            if source.member.state is not MemberState.JOINING
+        ):
+            return
+        self._service.has_all_turns = True
+        self._log.info("all turns are copied", view=self._service.view.number)
+
     def _is_unavailable(self, source: Source) -> bool:
         """Whether to stop waiting for a source: its disk was replaced or it does not reply."""
         return source.replaced or self._is_unresponsive(source, SOURCE_TIMEOUT_SECONDS)
@@ -338,8 +356,8 @@
         # Only the first of the responsive members, by name, makes the change.
         if any(s.member.name < self._member.name for s in responsive):
             return
-        # Records written under this view must be copied before a quorum can exclude the member.
-        if any(s.copied_view < self._service.view.number for s in responsive):
+        # Charges written under this view must be copied before a quorum can exclude the member.
+        if any(s.charges_view < self._service.view.number for s in responsive):
             return
         dropped = unresponsive[0].member
         view = await self._update_view(
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -117,7 +117,8 @@
     `scanned` are positions in `lifetime`, the time from one restart of the replying keeper to
     the next; they count as 0 in another one. Up to `position`, the requesting keeper has copied
     the records that it had to hold when the disks in `former` were active. After a change of
-    members, it scans all records again; this scan continues after `scanned`.
+    members, it scans all records again; this scan continues after `scanned`. It has yet to fetch
+    `missing_turns` of the turns that were listed before.
     """
 
     asker: str
@@ -126,6 +127,7 @@
     position: int
     scanned: int
     former: tuple[str, ...]
+    missing_turns: int = 0
     view: int = field(default=0, kw_only=True)
 
 
@@ -253,8 +255,9 @@
     | ErrorReply
 )
 
-# Most charges have no origin; without it, their messages and records are as short as before.
-for compact in (Charge, ProgramCharges):
+# Most charges have no origin and most lists no missing turns; without them, messages and records
+# are as before.
+for compact in (Charge, ProgramCharges, ListRecords):
     omit_defaults(compact)
 for union in (Record, KeeperRequest, KeeperReply):
     register_union(union, tag_name="_type")
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -81,7 +81,9 @@
         self._adopt_lock = asyncio.Lock()
         self.view = View()
         self.on_view_adopted: Callable[[], None] | None = None
+        # Whether all charges are copied that this keeper must hold, and whether all turns are, too.
         self.ready = False
+        self.has_all_turns = False
         # By disk of the copying keeper: the number of its view, and the position in this keeper's
         # records up to which it has copied them.
         self.copy_progress: dict[str, tuple[int, int]] = {}
@@ -110,7 +112,7 @@
             self.view = view
             self.coverage.adopt(view)
             if view.find(self._disk) is None:
-                self.ready = False
+                self.ready = self.has_all_turns = False
             self._log.info(
                 "adopted a view",
                 view=view.number,
@@ -183,6 +185,9 @@
                 return await self._reserve(message)
             case _ if not self.ready:
                 return self._refuse(message, "copying records from other keepers")
+            case Reserve(charge=None) if self._may_lack(message.previous):
+                # Part of a chain is of use, since others may have the rest; its end must be here.
+                return self._refuse(message, "copying turns from other keepers")
             case Reserve():
                 return await self._reserve(message)
             case Keep():
@@ -225,6 +230,10 @@
         _, missing = self._records.read_chain(turn_id)
         return missing is None
 
+    def _may_lack(self, turn_id: str) -> bool:
+        """Whether a turn is not held, though this keeper may have to hold it."""
+        return not self.has_all_turns and not self._records.has_turn(turn_id)
+
     async def _reserve(self, message: Reserve) -> KeeperReply:
         charge = message.charge
         if charge is not None:
@@ -260,7 +269,8 @@
         same_lifetime = message.lifetime == self._records.lifetime
         position = message.position if same_lifetime else 0
         scanned = message.scanned if same_lifetime else 0
-        self.copy_progress[message.asker] = (message.view, scanned)
+        if not message.missing_turns:
+            self.copy_progress[message.asker] = (message.view, scanned)
         view, groups = self.view, self._groups
         active_disks = list_active_after_join(view, message.asker)
 
--- a/tests/keeper/test_service.py
+++ b/tests/keeper/test_service.py
@@ -5,7 +5,7 @@
 import pytest
 from attrs import evolve
 
-from egretford.keeper.messages import Keep, Kept, NotReady, Reserve, Reserved, Turn
+from egretford.keeper.messages import Keep, Kept, ListRecords, NotReady, Reserve, Reserved, Turn
 from egretford.policy.ledger import Charge
 from egretford.policy.views import Member, MemberState, View
 from tests.entry.test_copies import ListLog
@@ -89,3 +89,35 @@
     assert (fields["chain"], fields["missing"]) == (1, "t0")
     assert (fields["generation"], fields["completed"]) == (2, 0)
     assert fields["uncopied"] == ["d-b", "d-c"]
+
+
+# Guards against a 404 for a kept turn: a keeper counts before it has copied all turns, and says
+# that it lacks one which it may still have to copy.
+async def test_a_keeper_that_counts_does_not_say_that_it_lacks_a_turn_while_it_copies(tmp_path):
+    service, _ = make_service(tmp_path, "d-a")
+    members = [Member(n, f"d-{n}", "", "z", MemberState.ACTIVE) for n in "abc"]
+    await service.adopt(View(5, tuple(members), generation=2))
+    service.ready = True
+    question = Reserve(None, "t1", with_chain=True, view=5)
+    assert isinstance(await service.answer(question), NotReady)
+    # The end of the chain is of use alone, as another keeper may have the rest.
+    assert await service.answer(Keep(None, evolve(TURN, previous="t0"), view=5)) == Kept()
+    reply = await service.answer(question)
+    assert isinstance(reply, Reserved) and (len(reply.chain), reply.missing) == (1, "t0")
+    service.has_all_turns = True
+    lacking = await service.answer(evolve(question, previous="t2"))
+    assert isinstance(lacking, Reserved) and lacking.missing == "t2"
+
+
+# Guards against lost turns: a keeper leaves once others have listed its records, while they have
+# yet to fetch the turns.
+async def test_records_do_not_count_as_copied_while_turns_are_missing(tmp_path):
+    service, records = make_service(tmp_path, "d-a")
+    members = [Member(n, f"d-{n}", "", "z", MemberState.ACTIVE) for n in "abc"]
+    await service.adopt(View(5, tuple(members), generation=2))
+    await records.write([evolve(TURN, copies=("a", "b"))])
+    question = ListRecords("d-b", "b", records.lifetime, 1, 1, (), missing_turns=1, view=5)
+    await service.answer(question)
+    assert not service.is_copied_by("d-b", 5, records.position)
+    await service.answer(evolve(question, missing_turns=0))
+    assert service.is_copied_by("d-b", 5, records.position)
--- a/tests/keeper/test_successive_losses.py
+++ b/tests/keeper/test_successive_losses.py
@@ -7,14 +7,15 @@
 import pytest
 
 from egretford.keeper.messages import Turn
+from egretford.policy.views import MemberState
 from tests.keeper.simulation import CATCH_UP_SECONDS, LINK_BYTES_PER_SECOND, Machine, World
-from tests.keeper.test_turn_durability import run_case
+from tests.keeper.test_turn_durability import find_state, retire, run_case, wait_until
 from tests.keeper.turn_faults import CALM_SECONDS
 from tests.keeper.turn_load import KeptTurn, TurnLoad
 
 TURN_BYTES = 20_000
-# The keepers k1 and k3 are in one region, k2 alone in another; as many turns of each pair as would take
-# the link between the regions 1.5 times the time for catching up.
+# The keepers k1 and k3 are in one region, k2 alone in another; as many turns of each pair as would
+# take the link between the regions 1.5 times the time for catching up.
 TURNS_PER_PAIR = int(1.5 * CATCH_UP_SECONDS * LINK_BYTES_PER_SECOND / TURN_BYTES)
 # Of these, one in so many is read from each entry; reading all would itself fill the link.
 READ_SHARE = 25
@@ -66,3 +67,24 @@
         await load.check_readable()
 
     assert run_case(scenario, keepers=3).failures == []
+
+
+# Guards against lost turns: a keeper that counts, but has yet to copy the turns of another, leaves
+# before their other holder's successor has them.
+def test_a_keeper_leaves_only_after_it_has_copied_all_turns():
+    async def scenario(world, load):
+        leaving, other = (world.network.machines[name] for name in ("k1", "k2"))
+        await store_turns(world, load, ("k1", "k2"))
+        await lose_disk(world, leaving)
+        await wait_until(lambda: find_state(world, leaving) is MemberState.ACTIVE, 3.0)
+        retirement = asyncio.ensure_future(retire(world, leaving))
+        await asyncio.sleep(1.0)
+        assert not leaving.process.service.has_all_turns
+        assert find_state(world, leaving) is MemberState.ACTIVE
+        await asyncio.wait_for(retirement, 30.0)
+        world.kill(other, has_power=False)
+        world.replace_disk(other)
+        await world.start(other)
+        assert [turn_id for turn_id in load.kept if not world.list_copies(turn_id)] == []
+
+    run_case(scenario)
