Copy turns of keepers that are behind to others of the region at once

Callers would see: a kept turn is gone (LOST, 503 as more disks were dropped than are tolerated) when a second disk is lost after the time to catch up.

Cause: the turns of a lost holder were copied by the lost instance alone, once it was back, over whatever link it has, or by a successor after the view had dropped it.

The source decides: it knows who asks it for records. While a member's disk is lost, it has not asked for 1.5 s, or it has yet to fetch 100 turns or more, a source lists the turns that this member should have to the others of its own region, too, spread by hash. If someone new falls behind, the asker's scan starts again. No message changes.

--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -46,6 +46,8 @@
 LEAST_FETCH_WAIT_SECONDS = 0.01
 # A reply has room for at most about a hundred turns; further ids would have to be sent again.
 MAX_FETCH_IDS = 100
+# Turns of a source that are looked up before each batch, as others may have sent them.
+FETCHED_CHECK_TURNS = 5 * MAX_FETCH_IDS
 
 
 @define
@@ -320,10 +322,12 @@
 
     async def _fetch_batch(self, source: Source) -> bool:
         """Fetch and write some of a source's missing turns; returns whether to go on at once."""
-        source.remove_missing([t for t in source.missing_turns if self._records.has_turn(t)])
+        next_turns = islice(source.missing_turns, FETCHED_CHECK_TURNS)
+        source.remove_missing([t for t in next_turns if self._records.has_turn(t)])
         if not source.missing_turns or source.replaced:
             return False
-        batch = self._fetches.claim(source.missing_turns, MAX_FETCH_IDS)
+        wanted = (t for t in source.missing_turns if not self._records.has_turn(t))
+        batch = self._fetches.claim(wanted, MAX_FETCH_IDS)
         if not batch:
             await self._fetches.wait_for_change()
             return True
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -58,6 +58,7 @@
             clock,
             metrics,
             self._make_logger("service"),
+            settings.regions,
         )
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
         self._server = StreamPeerServer(
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
+from attrs import define
+
 from egretford.clock import Clock
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.keeper.log import DiskError, write_file_durably
@@ -35,8 +37,12 @@
 from egretford.metrics import Metrics
 from egretford.policy.crashes import CrashTable
 from egretford.policy.groups import Completion, GroupCache, GroupCoverage, list_active_after_join
-from egretford.policy.turn_replicas import must_store_turn
-from egretford.policy.views import MemberState, View
+from egretford.policy.turn_replicas import (
+    is_same_region,
+    list_near_successors,
+    must_store_turn,
+)
+from egretford.policy.views import Member, MemberState, View
 
 VIEW_FILE = "view"
 # Label of the request histograms: keepers do not see organisations, only the kind of request.
@@ -46,6 +52,24 @@
 COVERAGE_TIMEOUT_SECONDS = 0.5
 # Least interval, in seconds, between log lines about requests refused for the same reason.
 REFUSAL_LOG_INTERVAL_SECONDS = 1.0
+# A member that has not asked for records for this long is taken for lost: others in the region take
+# copies of its turns. Members ask twice a second, and a busy link between regions delays them.
+SILENT_COPIER_SECONDS = 1.5
+# The same holds for a member that has yet to fetch this many turns; fewer take it about a second.
+LAGGING_TURNS = 100
+
+
+@define
+class Copier:
+    """Another keeper as it copies from this one; `asked_at` in monotonic seconds.
+
+    `missing_turns` is how many listed turns it has yet to fetch. Its scan lists the turns of the
+    instances in `behind` to it, so that it takes copies of these.
+    """
+
+    asked_at: float
+    missing_turns: int = 0
+    behind: frozenset[str] = frozenset()
 
 
 class KeeperService:
@@ -64,7 +88,9 @@
         clock: Clock,
         metrics: Metrics,
         log: Any,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
+        self._regions = regions or {}
         self._path = folder / VIEW_FILE
         self._disk = disk
         self._tolerated_losses = tolerated_losses
@@ -87,6 +113,7 @@
         # By disk of the copying keeper: the number of its view, and the position in this keeper's
         # records up to which it has copied them.
         self.copy_progress: dict[str, tuple[int, int]] = {}
+        self._copiers: dict[str, Copier] = {}
 
     def load_view(self, completion: Completion) -> None:
         """Restore the view from disk, and with it `completion`, as read from the same disk."""
@@ -108,6 +135,8 @@
                 await asyncio.to_thread(write_file_durably, self._path, encode_bytes(view))
             except OSError as error:
                 raise DiskError(repr(error)) from error
+            members = {member.disk for member in view.members}
+            self._copiers = {d: copier for d, copier in self._copiers.items() if d in members}
             known_disks = {member.disk for member in self.view.members}
             self.view = view
             self.coverage.adopt(view)
@@ -271,7 +300,15 @@
         scanned = message.scanned if same_lifetime else 0
         if not message.missing_turns:
             self.copy_progress[message.asker] = (message.view, scanned)
+        copier = self._find_copier(message.asker)
+        copier.asked_at, copier.missing_turns = self._clock.monotonic(), message.missing_turns
+        behind = self._list_behind(message.asker)
+        if behind - copier.behind:
+            # The asker is to take copies of turns that were not listed to it before.
+            scanned = 0
+        copier.behind = behind
         view, groups = self.view, self._groups
+        own_member = view.find(self._disk)
         active_disks = list_active_after_join(view, message.asker)
 
         def is_charge_wanted(program: str, charge_position: int) -> bool:
@@ -282,8 +319,11 @@
             )
 
         def is_turn_wanted(turn: Turn) -> bool:
-            return must_store_turn(
-                view, message.asker_name, turn.id, turn.copies, self._tolerated_losses
+            name, tolerated = message.asker_name, self._tolerated_losses
+            if must_store_turn(view, name, turn.id, turn.copies, tolerated):
+                return True
+            return bool(behind) and name in list_near_successors(
+                view, own_member, turn.id, turn.copies, behind, tolerated, self._regions
             )
 
         found = self._records.list_after(scanned, is_charge_wanted, is_turn_wanted)
@@ -299,6 +339,33 @@
             self.coverage.completion.generation,
         )
 
+    def _find_copier(self, disk: str) -> Copier:
+        """Return what is known of a keeper that copies from this one, since now at the latest."""
+        return self._copiers.setdefault(disk, Copier(self._clock.monotonic()))
+
+    def _list_behind(self, asker: str) -> frozenset[str]:
+        """Return the names of the instances whose turns the asker has to take copies of.
+
+        Only active members of this keeper's region take any.
+        """
+        view = self.view
+        own_member, asking = view.find(self._disk), view.find(asker)
+        if own_member is None or asking is None or asking.state is not MemberState.ACTIVE:
+            return frozenset()
+        if not is_same_region(asking, own_member, self._regions):
+            return frozenset()
+        others = (m for m in view.active if m.disk not in (self._disk, asker))
+        return frozenset(member.name for member in others if self._is_behind(member))
+
+    def _is_behind(self, member: Member) -> bool:
+        copier = self._find_copier(member.disk)
+        silent_seconds = self._clock.monotonic() - copier.asked_at
+        return (
+            member.disk in self.view.lost_disks
+            or silent_seconds >= SILENT_COPIER_SECONDS
+            or copier.missing_turns >= LAGGING_TURNS
+        )
+
     def is_copied_by(self, disk: str, view_number: int, position: int) -> bool:
         """Whether a keeper has copied this one's records up to `position` under a view.
 
--- a/egretford/policy/turn_replicas.py
+++ b/egretford/policy/turn_replicas.py
@@ -66,3 +66,38 @@
     is_joining = any(m.name == name and m.state is MemberState.JOINING for m in view.members)
     joining = name if is_joining else None
     return name in list_turn_keepers(view, turn_id, initial_holders, tolerated_losses, joining)
+
+
+def list_near_successors(
+    view: View,
+    holder: Member,
+    turn_id: str,
+    initial_holders: tuple[str, ...],
+    behind: frozenset[str],
+    tolerated_losses: int,
+    regions: Mapping[str, str],
+) -> set[str]:
+    """Return the names of further instances that must store a turn while some lack theirs.
+
+    `holder` has the turn; `behind` names the instances that may not have what they must store, as
+    their disk is lost, they are silent or they still copy. They may be away for long, or copy over
+    a slow link, so others in the holder's region, chosen by hash of the turn, take copies at once.
+    """
+    keepers = list_turn_keepers(view, turn_id, initial_holders, tolerated_losses)
+    active = {member.name for member in view.active}
+    present = ((keepers & active) - behind) | {holder.name}
+    missing = tolerated_losses + 1 - len(present)
+    if missing <= 0:
+        return set()
+    candidates = {
+        member.name
+        for member in view.active
+        if is_same_region(member, holder, regions) and member.name not in keepers | present | behind
+    }
+    return set(rank_by_hash(turn_id, candidates)[:missing])
+
+
+def is_same_region(one: Member, other: Member, regions: Mapping[str, str]) -> bool:
+    """Whether two members are in one region; a failure domain without one is its own."""
+    first, second = (regions.get(m.failure_domain, m.failure_domain) for m in (one, other))
+    return first == second
--- a/tests/keeper/simulation.py
+++ b/tests/keeper/simulation.py
@@ -171,7 +171,7 @@
         peers = MachinePeers(world.network, machine.name)
         disk = machine.disk.name
         self.service = KeeperService(
-            self.access, disk, world.tolerated, self.records, clock, Metrics(), log
+            self.access, disk, world.tolerated, self.records, clock, Metrics(), log, REGIONS
         )
         self.copier = RecordCopier(
             machine.name, disk, self.service, self.records, peers, self.access, clock, log
--- a/tests/policy/test_copies.py
+++ b/tests/policy/test_copies.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from egretford.policy.turn_replicas import (
+    list_near_successors,
     list_turn_keepers,
     must_store_turn,
     rank_turn_keepers,
@@ -65,3 +66,23 @@
     chosen = [t for t in turns if must_store_turn(after, "k-new", t, ("k-n1", "k-n2"), 1)]
     assert chosen
     assert all(must_store_turn(before, "k-new", t, ("k-n1", "k-n2"), 1) for t in chosen)
+
+
+# Guards against lost turns: a turn has one copy for as long as the keeper that lost the other takes
+# to copy it over the link between regions, though a keeper near its holder could have it at once.
+@given(st.text(min_size=1, max_size=5), st.integers(0, 2), st.sets(st.integers(0, 4), max_size=2))
+def test_one_keeper_near_the_holder_takes_the_copies_of_one_that_is_behind(turn, holding, others):
+    holder, lost = MEMBERS[holding], MEMBERS[3]
+    behind = frozenset({lost.name, *(MEMBERS[n].name for n in others if n != holding)})
+    initial_holders = (holder.name, lost.name)
+    found = list_near_successors(
+        View(9, tuple(MEMBERS)), holder, turn, initial_holders, behind, 1, REGIONS
+    )
+    candidates = {m.name for m in MEMBERS[:3]} - {holder.name} - behind
+    assert len(found) == min(1, len(candidates)) and found <= candidates
+
+
+def test_no_further_copies_are_taken_of_a_turn_whose_keepers_have_it():
+    view, holders = View(9, tuple(MEMBERS)), ("k-n1", "k-s1")
+    behind = frozenset({"k-n2", "k-s2"})
+    assert list_near_successors(view, MEMBERS[0], "t", holders, behind, 1, REGIONS) == set()
