--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -324,7 +324,8 @@
         """Fetch and write some of a source's missing turns; returns whether to go on at once."""
         next_turns = islice(source.missing_turns, FETCHED_CHECK_TURNS)
         source.remove_missing([t for t in next_turns if self._records.has_turn(t)])
-        if not source.missing_turns or source.replaced:
+        # The charges come first: a keeper does not count without them.
+        if not source.missing_turns or not source.is_scanned or source.replaced:
             return False
         wanted = (t for t in source.missing_turns if not self._records.has_turn(t))
         batch = self._fetches.claim(wanted, MAX_FETCH_IDS)
--- a/tests/keeper/test_successive_losses.py
+++ b/tests/keeper/test_successive_losses.py
@@ -7,6 +7,7 @@
 import pytest
 
 from egretford.keeper.messages import Turn
+from egretford.policy.ledger import Charge
 from egretford.policy.views import MemberState
 from tests.keeper.simulation import CATCH_UP_SECONDS, LINK_BYTES_PER_SECOND, Machine, World
 from tests.keeper.test_turn_durability import find_state, retire, run_case, wait_until
@@ -19,6 +20,9 @@
 TURNS_PER_PAIR = int(1.5 * CATCH_UP_SECONDS * LINK_BYTES_PER_SECOND / TURN_BYTES)
 # Of these, one in so many is read from each entry; reading all would itself fill the link.
 READ_SHARE = 25
+# Charges of a burst, and the time in which a keeper copies them when nothing else is on the link.
+CHARGES = 15_000
+JOIN_SECONDS = 1.4
 
 
 async def store_turns(world: World, load: TurnLoad, holders: tuple[str, ...]) -> None:
@@ -88,3 +92,19 @@
         assert [turn_id for turn_id in load.kept if not world.list_copies(turn_id)] == []
 
     run_case(scenario)
+
+
+# Guards against a keeper that joins too late: the many pages with charges, without which it does
+# not count, wait on the link behind the texts of turns.
+def test_charges_do_not_wait_for_turns_on_the_link():
+    async def scenario(world, load):
+        emptied, other = (world.network.machines[name] for name in ("k1", "k2"))
+        await store_turns(world, load, ("k1", "k2"))
+        charges = [Charge(f"c{number}", "t", 5, settled=True) for number in range(CHARGES)]
+        await other.process.records.write(charges)
+        await lose_disk(world, emptied)
+        started = world.now
+        await wait_until(lambda: find_state(world, emptied) is MemberState.ACTIVE)
+        assert world.now - started < JOIN_SECONDS
+
+    run_case(scenario, keepers=3)
