--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -7,11 +7,14 @@
 
 from egretford.clock import Clock
 from egretford.entry.crashes import SharedCrashes
+from egretford.entry.dialing import WorkerDialer
 from egretford.entry.forwarding import Forwarder
 from egretford.entry.gateway import Gateway
 from egretford.entry.keepers import KeeperClient
 from egretford.entry.origins import StreamOrigins
+from egretford.entry.peers import EntryDirectory
 from egretford.entry.relayed_store import RelayedStore
+from egretford.entry.tunnels import WorkerTunnels
 from egretford.entry.turns import Turns
 from egretford.entry.workers import WorkerTable
 from egretford.http.limits import RequestLimits
@@ -25,6 +28,7 @@
 from egretford.platform.feeds import StoreHealth, build_configuration_feed, build_worker_feed
 from egretford.platform.store import MetadataStore
 from egretford.platform.stored_state import StoredView
+from egretford.policy.detours import PeerEntry
 from egretford.policy.placement import Placement
 from egretford.policy.relays import compute_watch_seconds
 
@@ -52,7 +56,8 @@
         self._log = self._make_logger("entry")
         self._store = MetadataStore(settings.store_address, clock, self._make_logger("store"))
         self._health = StoreHealth(clock, self._make_logger("store"))
-        self.workers = WorkerTable(clock, self._health, self._make_logger("workers"))
+        self._dialer = WorkerDialer(clock, metrics, self._make_logger("dialing"))
+        self.workers = WorkerTable(clock, self._health, self._dialer, self._make_logger("workers"))
         self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
         self._keepers = KeeperClient(
             self._peers,
@@ -63,6 +68,19 @@
             clock,
             self._make_logger("keepers"),
         )
+        self._directory = EntryDirectory(
+            PeerEntry(settings.name, settings.reachable_address, settings.failure_domain),
+            self._keepers,
+            settings.regions,
+            lambda: self._dialer.is_isolated,
+            clock,
+            rng,
+            self._make_logger("peers"),
+        )
+        self._dialer.attach_directory(self._directory)
+        self._tunnels = WorkerTunnels(
+            self.workers, self._dialer, self._directory, self._make_logger("tunnels")
+        )
         self._turns = Turns(self._keepers, clock, self._make_logger("turns"))
         self._crashes = SharedCrashes(self._keepers, clock, self._make_logger("crashes"))
         placement = Placement(
@@ -132,8 +150,10 @@
         await self._readiness_server.start(settings.readiness_address)
         for feed in self._feeds:
             await feed.start()
+        await self._tunnels.start(settings.peer_address)
         await self._keepers.start()
         await self._crashes.start()
+        await self._directory.start()
         self._log.info("started", domain=settings.failure_domain, first=settings.first_start)
 
     def reload(self, settings: InstanceSettings) -> None:
@@ -151,19 +171,21 @@
         self._draining = True
         self.gateway.set_stop_time(stop_at)
         self._caller_server.draining = True
+        self._tunnels.draining = True
         self._log.info("stopping: not ready any more", active=self._caller_server.active)
         await clock.sleep(min(READINESS_LAG_SECONDS, grace / 2))
         while clock.monotonic() < stop_at or self._caller_server.active:
             if clock.monotonic() >= stop_at + ANSWER_RESERVE_SECONDS:
                 break
             self._caller_server.close_idle()
-            if not self._caller_server.connections:
+            if not self._caller_server.connections and not self._tunnels.active:
                 break
             await clock.sleep(DRAIN_POLL_SECONDS)
         self._log.info(
             "stopped",
             after_s=round(clock.monotonic() - started_at, 2),
             cut=self._caller_server.active,
+            tunnels=self._tunnels.active,
         )
 
     async def close(self) -> None:
@@ -172,6 +194,9 @@
             await feed.close()
         await self._caller_server.close()
         await self._readiness_server.close()
+        await self._tunnels.close()
+        await self._directory.close()
+        await self._dialer.close()
         self.workers.close()
         await self._crashes.close()
         await self._keepers.close()
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -8,6 +8,7 @@
 from attrs import Factory, define, evolve
 
 from egretford.clock import Clock
+from egretford.entry.dialing import WorkerDialer
 from egretford.entry.leaving import LeavingRuns, is_same_run
 from egretford.entry.models import RoutingTable, Worker, WorkerLoad, WorkerReply
 from egretford.http.client import ClientConnection
@@ -28,7 +29,6 @@
 MAX_IDLE_CONNECTIONS = 8
 # Software versions remembered per upstream; only whether there is more than one matters.
 MAX_KNOWN_VERSIONS = 4
-CONNECT_TIMEOUT_SECONDS = 0.5
 
 
 class StoreRecovery(Protocol):
@@ -73,9 +73,11 @@
 class WorkerTable:
     """Workers by id, updated from the worker list and from the results of calls."""
 
-    def __init__(self, clock: Clock, store: StoreRecovery, log: Any) -> None:
+    def __init__(self, clock: Clock, store: StoreRecovery, dialer: WorkerDialer, log: Any) -> None:
         self._clock = clock
         self._store = store
+        self._dialer = dialer
+        dialer.on_isolated = self.close
         self._log = log
         self._workers: dict[str, TrackedWorker] = {}
         self._leaving_runs = LeavingRuns()
@@ -190,10 +192,18 @@
             usable = [t for t in found if not t.state.leaving]
         return usable
 
+    def has_usable_address(self, address: str) -> bool:
+        """Whether a worker that is not leaving has this address (IP:PORT)."""
+        return any(
+            tracked.worker.address == address and not tracked.state.leaving
+            for tracked in self._workers.values()
+        )
+
     def _remove_due(self, now: float) -> None:
         for worker_id, tracked in list(self._workers.items()):
             if tracked.remove_at is not None and now >= tracked.remove_at:
                 tracked.close_idle()
+                self._dialer.forget(tracked.worker)
                 del self._workers[worker_id]
                 self._log.info("removed a worker", worker=worker_id)
 
@@ -249,7 +259,7 @@
             if connection.is_usable(now) and now - connection.idle_since <= max_idle:
                 return connection
             connection.close()
-        return await ClientConnection.open(tracked.worker.address, CONNECT_TIMEOUT_SECONDS)
+        return await self._dialer.open(tracked.worker)
 
     def release_connection(self, tracked: TrackedWorker, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is unusable or the pool is full."""
@@ -257,6 +267,7 @@
         reusable = connection.is_usable(self._clock.monotonic())
         if (
             reusable
+            and not connection.tunnelled
             and not tracked.state.leaving
             and len(tracked.idle_connections) < MAX_IDLE_CONNECTIONS
         ):
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -14,10 +14,15 @@
 from attrs import frozen
 
 from egretford.errors import EgretfordError
-from egretford.http.messages import Headers, ResponseHead
+from egretford.http.messages import Headers, ResponseHead, encode_head
 
 # A connection is closed if sent data stays unacknowledged this long, as behind a network partition.
 TCP_USER_TIMEOUT_MILLISECONDS = 3_000
+# Idle connections are probed this often, in seconds, so that a silent one is closed as well; the
+# user timeout also limits how long probes may stay unacknowledged.
+KEEP_ALIVE_SECONDS = 1
+# Status with which a tunnel server reports that it cannot connect to the target.
+TARGET_UNREACHABLE_STATUS = 502
 # Unread response bytes above which reading from the socket pauses.
 HIGH_WATER_BYTES = 262_144
 # Approximate memory of an unread event besides its body, so that many small events count too.
@@ -33,6 +38,10 @@
     """The connection could not be opened, so nothing was sent."""
 
 
+class TargetUnreachableError(ConnectError):
+    """A tunnel server could not connect to the target either."""
+
+
 class BrokenResponseError(EgretfordError):
     """The connection was closed, or the response was malformed, before the response was complete.
 
@@ -68,6 +77,7 @@
 
     Usage: `send`, then `read` until BodyEnd, then `finish`. `idle_limit` is the server's keep-alive
     time in seconds, if it announced one; `forwarded_requests` counts callers' requests sent on it.
+    `tunnelled` is set if it leads through another instance.
     """
 
     def __init__(self, address: str) -> None:
@@ -76,6 +86,7 @@
         self.idle_since = 0.0
         self.idle_limit: float | None = None
         self.forwarded_requests = 0
+        self.tunnelled = False
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
         self._buffered_bytes = 0
@@ -106,6 +117,42 @@
             raise ConnectError(f"{address}: {error!r}") from error
         return connection
 
+    @classmethod
+    async def open_tunnel(cls, server: str, address: str, timeout: float) -> ClientConnection:
+        """Connect to `address` through the tunnel server at `server`, within `timeout` seconds.
+
+        Raises TargetUnreachableError if that server cannot connect, else ConnectError.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        connection = await cls.open(server, timeout)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await connection._connect_tunnel(address)
+        except (BrokenResponseError, TimeoutError) as error:
+            connection.close()
+            raise ConnectError(f"{server}: {error!r}") from error
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
+    async def _connect_tunnel(self, address: str) -> None:
+        target = address.encode("latin-1")
+        self.send(encode_head(b"CONNECT %s HTTP/1.1" % target, [(b"Host", target)]))
+        head = await self.read()
+        if head.status == TARGET_UNREACHABLE_STATUS:
+            raise TargetUnreachableError(f"{self.address}: no connection to {address}")
+        if head.status != 200:
+            raise ConnectError(f"{self.address}: status {head.status} for a tunnel to {address}")
+        # The tunnel follows the head directly, while the parser expects a body.
+        self.address = address
+        self.tunnelled = True
+        self.reusable = True
+        self._parser = httptools.HttpResponseParser(self)
+        self._message_started = self._in_body = self._ends_with_connection = False
+        self._awaiting_response = False
+
     def send(self, data: bytes) -> None:
         """Send a complete, encoded request; its response can be read from then on."""
         self._awaiting_response = True
@@ -157,6 +204,7 @@
         """Store the transport and set socket options."""
         self._transport = transport
         set_socket_options(transport)
+        set_keep_alive(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes that arrive outside of an exchange close the connection."""
@@ -184,8 +232,11 @@
         self._wake_reader()
 
     def eof_received(self) -> bool | None:
-        """Complete a response that ends with its connection; any other one has been truncated."""
-        if self._in_body and self._ends_with_connection:
+        """Complete a response that ends with its connection; any other one has been truncated.
+
+        The end of a tunnel does not show whether the server ended the response or the tunnel broke.
+        """
+        if self._in_body and self._ends_with_connection and not self.tunnelled:
             self._emit(BodyEnd())
             self._in_body = False
         self.reusable = False
@@ -283,6 +334,16 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLISECONDS)
 
 
+def set_keep_alive(transport: asyncio.Transport) -> None:
+    """Probe an idle connection, so that it is closed if its peer acknowledges nothing."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS)
+
+
 async def read_response(connection: ClientConnection, limit: int) -> tuple[ResponseHead, bytes]:
     """Read one response with a body of at most `limit` bytes; raises BrokenResponseError."""
     head = await connection.read()
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -9,6 +9,7 @@
 from egretford.codec import omit_defaults, register_union
 from egretford.models import ErrorReply
 from egretford.policy.crashes import Crash
+from egretford.policy.detours import PeerEntry
 from egretford.policy.ledger import Charge, StreamOrigin
 from egretford.policy.views import View
 
@@ -180,6 +181,22 @@
     crashes: tuple[Crash, ...]
 
 
+@frozen
+class AnnounceEntry:
+    """Says that an entry runs; the reply lists the entries known to the keeper if `with_list`."""
+
+    entry: PeerEntry
+    with_list: bool
+    view: int = field(default=0, kw_only=True)
+
+
+@frozen
+class EntryList:
+    """The entries that announced themselves to the keeper lately; kept in memory only."""
+
+    entries: tuple[PeerEntry, ...]
+
+
 @frozen
 class WatchObjects:
     """Waits up to `seconds` for changes of stored objects of a kind after a revision.
@@ -239,13 +256,23 @@
     reason: str
 
 
-KeeperRequest = AdoptView | Reserve | Keep | ListRecords | FetchTurns | ShareCrashes | WatchObjects
+KeeperRequest = (
+    AdoptView
+    | Reserve
+    | Keep
+    | ListRecords
+    | FetchTurns
+    | ShareCrashes
+    | AnnounceEntry
+    | WatchObjects
+)
 KeeperReply = (
     Reserved
     | Kept
     | RecordPage
     | TurnPage
     | CrashList
+    | EntryList
     | RelayedChanges
     | OutdatedView
     | UnknownView
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -13,7 +13,9 @@
 from egretford.keeper.log import DiskError, write_file_durably
 from egretford.keeper.messages import (
     AdoptView,
+    AnnounceEntry,
     CrashList,
+    EntryList,
     FetchTurns,
     Keep,
     KeeperReply,
@@ -34,6 +36,7 @@
 from egretford.keeper.records import Records
 from egretford.metrics import Metrics
 from egretford.policy.crashes import CrashTable
+from egretford.policy.detours import EntryRegistry
 from egretford.policy.groups import Completion, GroupCache, GroupCoverage, list_active_after_join
 from egretford.policy.turn_replicas import must_store_turn
 from egretford.policy.views import MemberState, View
@@ -75,6 +78,7 @@
         self._clock = clock
         self._metrics = metrics
         self._crashes = CrashTable()
+        self._entries = EntryRegistry()
         self._log = log
         self._refusal_log_due: dict[str, float] = {}
         self._uncopied: set[str] = set()
@@ -176,6 +180,10 @@
                 now = self._clock.monotonic()
                 self._crashes.merge(message.seen, now)
                 return CrashList(self._crashes.list_recent(now))
+            case AnnounceEntry():
+                now = self._clock.monotonic()
+                self._entries.add(message.entry, now)
+                return EntryList(self._entries.list_recent(now) if message.with_list else ())
             case Keep(charge=None):
                 # A turn that is synced here counts as a copy even while other records are missing.
                 return await self._keep(message) if self._is_active else NotReady("does not count")
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -12,6 +12,7 @@
 
 from egretford.clock import SystemClock
 from egretford.entry.crashes import SharedCrashes
+from egretford.entry.dialing import WorkerDialer
 from egretford.entry.forwarding import Forwarder
 from egretford.entry.gateway import Gateway
 from egretford.entry.models import Worker
@@ -102,7 +103,7 @@
 @pytest.fixture
 async def entry():
     clock, log = SystemClock(), NullLog()
-    workers = WorkerTable(clock, FakeStoreRecovery(), log)
+    workers = WorkerTable(clock, FakeStoreRecovery(), WorkerDialer(clock, Metrics(), log), log)
     forwarder = Forwarder(workers, Placement(ZONES), "north", clock, log)
     turns, crashes = Turns(None, clock, log), SharedCrashes(None, clock, log)
     origins = StreamOrigins(UnreachableKeepers(), workers, log)
--- a/tests/entry/test_origins.py
+++ b/tests/entry/test_origins.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from egretford.entry.dialing import WorkerDialer
 from egretford.entry.models import CallerRequest, Route, RouteKind, WeightedUpstream, Worker
 from egretford.entry.origins import StreamOrigins
 from egretford.entry.workers import WorkerTable
 from egretford.errors import PeerUnreachableError
 from egretford.http.messages import Headers, HttpRequest
 from egretford.keeper.messages import ProgramCharges, Reserved
+from egretford.metrics import Metrics
 from egretford.policy.ledger import Charge, StreamOrigin
 from tests.entry.test_workers import FakeClock, FakeStoreRecovery
 from tests.platform.standins import NullLog
@@ -34,7 +36,9 @@
         return reply
 
     client, _ = make_client(**{name: (make_reply(name), 0.0) for name in "abc"})
-    workers = WorkerTable(FakeClock(), FakeStoreRecovery(), NullLog())
+    workers = WorkerTable(
+        FakeClock(), FakeStoreRecovery(), WorkerDialer(FakeClock(), Metrics(), NullLog()), NullLog()
+    )
     for version in ("v1", "v2"):
         workers.update_worker(
             Worker(version, "m", "10.0.0.1:80", "z", 1, False, software_version=version)
--- a/tests/entry/test_workers.py
+++ b/tests/entry/test_workers.py
@@ -4,10 +4,12 @@
 
 from attrs import Factory, define, evolve
 
+from egretford.entry.dialing import WorkerDialer
 from egretford.entry.leaving import MAX_RUNS, LeavingRuns
 from egretford.entry.models import PromptPart, RoutingTable, Worker, WorkerReply
 from egretford.entry.workers import RECOVERY_GRACE_SECONDS, REMOVAL_DELAY_SECONDS, WorkerTable
 from egretford.http.messages import Headers, ResponseHead
+from egretford.metrics import Metrics
 from egretford.platform.documents import decode_configuration
 from egretford.platform.wire import decode_reply
 from tests.platform.deployment import make_configuration
@@ -54,7 +56,15 @@
 
 def make_table(recovered_at=None, log=None) -> tuple[WorkerTable, FakeClock]:
     clock = FakeClock()
-    return WorkerTable(clock, FakeStoreRecovery(recovered_at), log or NullLog()), clock
+    return (
+        WorkerTable(
+            clock,
+            FakeStoreRecovery(recovered_at),
+            WorkerDialer(clock, Metrics(), NullLog()),
+            log or NullLog(),
+        ),
+        clock,
+    )
 
 
 def read_table() -> RoutingTable:
