--- a/egretford/entry/dialing.py
+++ b/egretford/entry/dialing.py
@@ -68,12 +68,7 @@
     async def open(self, worker: Worker) -> ClientConnection:
         """Return a connection to a worker; raises ConnectError."""
         if worker.address in self._blocked:
-            try:
-                return await self._open_tunnel(worker)
-            except TargetUnreachableError:
-                raise
-            except ConnectError:
-                return await self._open_direct(worker)
+            return await self._open_tunnel(worker)
         attempts = [asyncio.ensure_future(self._open_direct(worker))]
         chosen = None
         try:
@@ -104,16 +99,23 @@
         return await ClientConnection.open(worker.address, CONNECT_TIMEOUT_SECONDS)
 
     async def _open_tunnel(self, worker: Worker) -> ClientConnection:
-        """Ask several entries for a tunnel, one after the other; raises ConnectError."""
+        """Ask several entries for a tunnel, one after the other; raises ConnectError.
+
+        Raises TargetUnreachableError once entries of two failure domains cannot reach the worker.
+        """
         peers = await self._directory.list_peers() if self._directory is not None else []
         error: ConnectError = ConnectError("no other entry is known")
+        failed_domains: set[str] = set()
         for peer in peers[:MAX_PEERS_ASKED]:
             try:
                 connection = await ClientConnection.open_tunnel(
                     peer.address, worker.address, TUNNEL_TIMEOUT_SECONDS
                 )
-            except TargetUnreachableError:
-                raise
+            except TargetUnreachableError as failure:
+                failed_domains.add(peer.failure_domain)
+                if len(failed_domains) > 1:
+                    raise
+                error = failure
             except ConnectError as failure:
                 self._log.info(
                     "got no tunnel", worker=worker.id, peer=peer.name, error=str(failure)
--- a/egretford/policy/detours.py
+++ b/egretford/policy/detours.py
@@ -35,7 +35,8 @@
     """Order other entries by preference for tunnels.
 
     Isolated ones come last. Else the own failure domain comes first, then the own region, and
-    within these the order is random, so that the load is spread.
+    within these the order is random, so that the load is spread. After the first one come those of
+    other domains, as what isolates this entry may isolate its neighbours too.
     """
     region = regions.get(own.failure_domain)
 
@@ -46,7 +47,10 @@
             distance = 1 if regions.get(peer.failure_domain) == region else 2
         return peer.isolated, distance, rng.random()
 
-    return sorted((peer for peer in peers if peer.name != own.name), key=sort_key)
+    ranked = sorted((peer for peer in peers if peer.name != own.name), key=sort_key)
+    first_of_domains = {peer.failure_domain: peer for peer in reversed(ranked)}
+    firsts = [peer for peer in ranked if first_of_domains[peer.failure_domain] is peer]
+    return [*firsts, *(peer for peer in ranked if peer not in firsts)]
 
 
 @define
