Fix the draft's tunnels: early data, silent machines, bytes before the request

- data that arrives in one packet with the request for a tunnel was dropped without a sign; it resets the connection now, as data in a later packet did
- neither end of a tunnel was probed, so a machine that falls silent held a tunnel for good
- bytes that came together with the answer 200 were taken for the start of the next response

--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -145,6 +145,8 @@
             raise TargetUnreachableError(f"{self.address}: no connection to {address}")
         if head.status != 200:
             raise ConnectError(f"{self.address}: status {head.status} for a tunnel to {address}")
+        if self._events:
+            raise ConnectError(f"{self.address}: bytes before the request to {address}")
         # The tunnel follows the head directly, while the parser expects a body.
         self.address = address
         self.tunnelled = True
--- a/egretford/http/tunnel.py
+++ b/egretford/http/tunnel.py
@@ -14,7 +14,7 @@
 import httptools
 
 from egretford.controllers.loops import TaskGroup
-from egretford.http.client import TARGET_UNREACHABLE_STATUS, set_socket_options
+from egretford.http.client import TARGET_UNREACHABLE_STATUS, set_keep_alive, set_socket_options
 from egretford.http.messages import encode_head, encode_status_line
 
 # Seconds in which the request for a tunnel must arrive; it is one packet.
@@ -114,6 +114,7 @@
         """Store the transport and set socket options."""
         self._transport = transport
         set_socket_options(transport)
+        set_keep_alive(transport)
         if self.other is not None and self.other.closed:
             self.reset()
 
@@ -213,8 +214,12 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._handle_request()
+        except httptools.HttpParserUpgrade as upgrade:
+            (head_end,) = upgrade.args
+            if head_end < len(data):
+                self.reset()
+            else:
+                self._handle_request()
         except httptools.HttpParserError:
             self.refuse(400)
 
