--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -270,6 +270,13 @@
             job.offers += 1
             job.history.record_sent(tracked.worker.id)
             job.worker = tracked.worker.id
+            if connection.tunnelled:
+                self._log.info(
+                    "sent through another entry",
+                    request=job.request.id,
+                    worker=job.worker,
+                    peer=connection.tunnel_server,
+                )
             tracked.cache.record_prompt(job.request.prompt)
             yield connection
         except BrokenResponseError as error:
--- a/egretford/entry/peers.py
+++ b/egretford/entry/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -19,15 +20,17 @@
 
 # Interval of announcements, in seconds; keepers forget an entry after several of them.
 ANNOUNCE_SECONDS = 3.0
-# Age, in seconds, above which the list of entries is read again before it is used.
+# Age of the list of entries, in seconds, above which it is read again when it is used.
 MAX_LIST_AGE_SECONDS = 2.0
+# Age of the list, in seconds, above which it is not used before it has been read again.
+STALE_LIST_SECONDS = 10.0
 # Timeout of reading the list, in seconds. One round trip to another region takes some tens of
 # milliseconds, and one of the keepers may be silent.
 READ_TIMEOUT_SECONDS = 0.2
 # Failure domains of which a keeper is asked; each keeper knows the entries near it.
 MAX_ASKED_DOMAINS = 3
 # Seconds for which an entry that gave no tunnel is avoided.
-AVOID_SECONDS = 1.0
+AVOID_SECONDS = 3.0
 
 
 class EntryDirectory:
@@ -86,15 +89,18 @@
 
     async def list_peers(self) -> list[PeerEntry]:
         """Return other entries, in the order to ask them for a tunnel."""
-        await self._refresh()
+        reading = self._refresh()
+        if reading is not None and self._measure_age() > STALE_LIST_SECONDS:
+            await asyncio.wait([reading], timeout=READ_TIMEOUT_SECONDS)
         now = self._clock.monotonic()
         ranked = rank_peers(self._peers.values(), self._own, self._regions, self._rng)
         return [peer for peer in ranked if self._avoided_until.get(peer.address, 0.0) <= now]
 
     async def knows(self, ip: str) -> bool:
         """Whether an entry of the deployment has this IP address."""
-        if not self._has_ip(ip):
-            await self._refresh()
+        reading = None if self._has_ip(ip) else self._refresh()
+        if reading is not None:
+            await asyncio.wait([reading], timeout=READ_TIMEOUT_SECONDS)
         return self._has_ip(ip)
 
     def _has_ip(self, ip: str) -> bool:
@@ -106,14 +112,14 @@
         self._avoided_until = {a: until for a, until in self._avoided_until.items() if until > now}
         self._avoided_until[peer.address] = now + AVOID_SECONDS
 
-    async def _refresh(self) -> None:
-        """Read the list unless it is recent; concurrent calls share one reading."""
-        now = self._clock.monotonic()
-        if self._read_at is not None and now - self._read_at < MAX_LIST_AGE_SECONDS:
-            return
-        if self._read is None:
+    def _measure_age(self) -> float:
+        return math.inf if self._read_at is None else self._clock.monotonic() - self._read_at
+
+    def _refresh(self) -> asyncio.Task[None] | None:
+        """Read the list in the background unless it is recent; there is one reading at a time."""
+        if self._read is None and self._measure_age() >= MAX_LIST_AGE_SECONDS:
             self._read = self._tasks.spawn(self._read_list())
-        await asyncio.wait([self._read], timeout=READ_TIMEOUT_SECONDS)
+        return self._read
 
     async def _read_list(self) -> None:
         asked: dict[str, Member] = {}
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -77,7 +77,7 @@
 
     Usage: `send`, then `read` until BodyEnd, then `finish`. `idle_limit` is the server's keep-alive
     time in seconds, if it announced one; `forwarded_requests` counts callers' requests sent on it.
-    `tunnelled` is set if it leads through another instance.
+    `tunnel_server` is the address of the instance through which it leads, empty if it is direct.
     """
 
     def __init__(self, address: str) -> None:
@@ -86,7 +86,7 @@
         self.idle_since = 0.0
         self.idle_limit: float | None = None
         self.forwarded_requests = 0
-        self.tunnelled = False
+        self.tunnel_server = ""
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
         self._buffered_bytes = 0
@@ -146,13 +146,17 @@
         if head.status != 200:
             raise ConnectError(f"{self.address}: status {head.status} for a tunnel to {address}")
         # The tunnel follows the head directly, while the parser expects a body.
-        self.address = address
-        self.tunnelled = True
+        self.tunnel_server, self.address = self.address, address
         self.reusable = True
         self._parser = httptools.HttpResponseParser(self)
         self._message_started = self._in_body = self._ends_with_connection = False
         self._awaiting_response = False
 
+    @property
+    def tunnelled(self) -> bool:
+        """Whether the connection leads through another instance."""
+        return bool(self.tunnel_server)
+
     def send(self, data: bytes) -> None:
         """Send a complete, encoded request; its response can be read from then on."""
         self._awaiting_response = True
--- a/tests/entry/test_workers.py
+++ b/tests/entry/test_workers.py
@@ -43,6 +43,7 @@
 @define
 class FakeConnection:
     closed: bool = False
+    tunnelled: bool = False
 
     def finish(self, now):
         pass
