Fix the draft's dialer: avoided peers, a worker at a new address

- a peer waited 0.5 s for a worker, the isolated entry 0.25 s for the tunnel: one dead worker that drops packets made it avoid every peer asked, for all workers.
- a peer that refuses one worker, as it is leaving or blocked there too, was avoided for all workers.
It says 403 now, for which nobody is avoided
- a blocked worker that starts again at another address stayed blocked under its former one for good, so its entry stayed isolated and probed it twice a second

Direct connections and probes go through _open_direct(address), which tests replace.

--- a/egretford/entry/dialing.py
+++ b/egretford/entry/dialing.py
@@ -10,7 +10,12 @@
 from egretford.controllers.loops import TaskGroup
 from egretford.entry.models import Worker
 from egretford.entry.peers import EntryDirectory
-from egretford.http.client import ClientConnection, ConnectError, TargetUnreachableError
+from egretford.http.client import (
+    ClientConnection,
+    ConnectError,
+    TargetRefusedError,
+    TargetUnreachableError,
+)
 from egretford.metrics import Metrics
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -69,7 +74,7 @@
         """Return a connection to a worker; raises ConnectError."""
         if worker.address in self._blocked:
             return await self._open_tunnel(worker)
-        attempts = [asyncio.ensure_future(self._open_direct(worker))]
+        attempts = [asyncio.ensure_future(self._open_direct(worker.address))]
         chosen = None
         try:
             await asyncio.wait(attempts, timeout=TUNNEL_DELAY_SECONDS)
@@ -95,8 +100,8 @@
                     return attempt.result()
         return attempts[0].result()
 
-    async def _open_direct(self, worker: Worker) -> ClientConnection:
-        return await ClientConnection.open(worker.address, CONNECT_TIMEOUT_SECONDS)
+    async def _open_direct(self, address: str) -> ClientConnection:
+        return await ClientConnection.open(address, CONNECT_TIMEOUT_SECONDS)
 
     async def _open_tunnel(self, worker: Worker) -> ClientConnection:
         """Ask several entries for a tunnel, one after the other; raises ConnectError.
@@ -116,6 +121,9 @@
                 if len(failed_domains) > 1:
                     raise
                 error = failure
+            except TargetRefusedError as failure:
+                self._metrics.count("tunnels.refused")
+                error = failure
             except ConnectError as failure:
                 self._log.info(
                     "got no tunnel", worker=worker.id, peer=peer.name, error=str(failure)
@@ -156,7 +164,7 @@
         """Try the worker that was tried longest ago, and all others if it can be reached."""
         for address, worker_id in list(self._blocked.items()):
             try:
-                connection = await ClientConnection.open(address, CONNECT_TIMEOUT_SECONDS)
+                connection = await self._open_direct(address)
             except ConnectError:
                 if self._blocked.pop(address, None) is not None:
                     self._blocked[address] = worker_id
--- a/egretford/entry/tunnels.py
+++ b/egretford/entry/tunnels.py
@@ -4,13 +4,17 @@
 
 from typing import Any
 
-from egretford.entry.dialing import CONNECT_TIMEOUT_SECONDS, WorkerDialer
+from egretford.entry.dialing import WorkerDialer
 from egretford.entry.peers import EntryDirectory
 from egretford.entry.workers import WorkerTable
+from egretford.http.client import TARGET_REFUSED_STATUS
 from egretford.http.tunnel import TunnelRefusedError, TunnelServer
 
 # Tunnels that one entry carries at once; each is one request of another entry's callers.
 MAX_TUNNELS = 128
+# Time for a connection to a worker, in seconds. Less than entries wait for a tunnel, so that they
+# learn that it is the worker that cannot be reached.
+TARGET_TIMEOUT_SECONDS = 0.15
 
 
 class WorkerTunnels:
@@ -29,7 +33,7 @@
         self._workers = workers
         self._dialer = dialer
         self._directory = directory
-        self._server = TunnelServer(self._admit, CONNECT_TIMEOUT_SECONDS, log)
+        self._server = TunnelServer(self._admit, TARGET_TIMEOUT_SECONDS, log)
         self.draining = False
 
     async def start(self, address: str) -> None:
@@ -51,8 +55,12 @@
         if self.active > MAX_TUNNELS:
             raise TunnelRefusedError(503, f"over {MAX_TUNNELS} tunnels are open")
         if not self._workers.has_usable_address(target):
-            raise TunnelRefusedError(403, "no worker that may be used has this address")
+            raise TunnelRefusedError(
+                TARGET_REFUSED_STATUS, "no worker that may be used has this address"
+            )
         if self._dialer.is_blocked(target):
-            raise TunnelRefusedError(503, "this entry does not reach the worker either")
+            raise TunnelRefusedError(
+                TARGET_REFUSED_STATUS, "this entry does not reach the worker either"
+            )
         if not await self._directory.knows(ip):
             raise TunnelRefusedError(403, "no entry of the deployment has this IP address")
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -123,6 +123,8 @@
             return
         if existing is not None:
             existing.close_idle()
+            if existing.worker.address != worker.address:
+                self._dialer.forget(existing.worker)
         self._workers[worker.id] = self._build_tracked(worker, leaving)
         versions = self._known_versions.setdefault(worker.upstream, set())
         if len(versions) < MAX_KNOWN_VERSIONS:
