Fix the draft's order of peers: isolated ones come last

An isolated entry that was the first of its failure domain came before further entries in touch of another one, so of three entries asked two were isolated.

--- a/egretford/policy/detours.py
+++ b/egretford/policy/detours.py
@@ -50,7 +50,8 @@
     ranked = sorted((peer for peer in peers if peer.name != own.name), key=sort_key)
     first_of_domains = {peer.failure_domain: peer for peer in reversed(ranked)}
     firsts = [peer for peer in ranked if first_of_domains[peer.failure_domain] is peer]
-    return [*firsts, *(peer for peer in ranked if peer not in firsts)]
+    others = [peer for peer in ranked if peer not in firsts]
+    return sorted([*firsts, *others], key=lambda peer: peer.isolated)
 
 
 @define
