--- a/tests/platform/test_isolated_entries.py
+++ b/tests/platform/test_isolated_entries.py
@@ -7,9 +7,15 @@
 
 import pytest
 
-from egretford.entry import dialing, peers
-from egretford.http.client import BodyPart, ClientConnection, ConnectError
-from egretford.http.messages import encode_head
+from egretford.entry import daemon, dialing, peers
+from egretford.http.client import (
+    BodyEnd,
+    BodyPart,
+    BrokenResponseError,
+    ClientConnection,
+    ConnectError,
+)
+from egretford.http.messages import encode_head, encode_status_line
 from egretford.http.tunnel import TunnelRefusedError
 from tests.platform.deployment import run_deployment
 from tests.platform.standins import join_events, make_event
@@ -237,9 +243,24 @@
         return True
 
 
+# Guards against an unsafe call that was sent into a connection just gone silent and is refused as
+# not run, or is sent again over a peer.
+async def test_an_unsafe_call_into_a_silent_connection_may_have_run(deployment):
+    caller = deployment.callers[0]
+    for number in range(6):
+        assert (await caller.ask("/book/1", request_id=f"b{number}")).status == 200
+    deployment.links[0].cut("hanging", silence=True)
+    answer = await caller.ask("/book/1", request_id="u1", deadline_ms=800)
+    assert answer.status in (502, 504)
+    assert not deployment.arrivals("u1")
+
+
 # Guards against a stream that is cut off with its connection, or goes on at another version.
 @pytest.mark.parametrize("version", ["v1", "v2"])
-async def test_a_stream_under_way_goes_on_over_a_peer_at_its_version(deployment, version):
+@pytest.mark.parametrize("worker_dies", [False, True], ids=["worker lives", "worker dies"])
+async def test_a_stream_under_way_goes_on_over_a_peer_at_its_version(
+    deployment, version, worker_dies
+):
     await set_version(deployment, deployment.worker("m-2"), "v2")
     await add_worker(deployment, "m-3", "north-a", "v1")
     await add_worker(deployment, "m-4", "north-a", "v2")
@@ -258,6 +279,8 @@
         connection.close()
     assert deployment.worker(arrival.worker).version == version
     links.cut("hanging", silence=True)
+    if worker_dies:
+        await deployment.worker(arrival.worker).close()
     received += await read_events(connection, 2)
     assert received == COMPLETE_BODY
     assert {deployment.worker(a.worker).version for a in deployment.arrivals(request_id)} == {
@@ -320,7 +343,7 @@
     connection = await begin(deployment.callers[0], "/chat/1", "c1")
     await read_events(connection, 2)
     end_tunnels(find_carrier(deployment))
-    with pytest.raises(Exception, match=r"closed|reset"):
+    with pytest.raises(BrokenResponseError):
         await read_events(connection, 2)
     connection.close()
     plan = await begin(deployment.callers[0], "/plan/1", "p1")
@@ -330,6 +353,29 @@
     plan.close()
 
 
+# Guards against a response whose end is that of its connection, and that a peer which died ended:
+# it cannot be told from one that its worker ended.
+async def test_a_response_without_a_length_is_not_taken_for_complete(deployment):
+    stream = PausingStream()
+
+    async def send_unframed(worker, arrival, responder):
+        head = encode_head(encode_status_line(200), worker.sign(arrival.request_id))
+        responder._connection.write(head + make_event(1) + make_event(2))
+        await stream.resume.wait()
+        return True
+
+    for worker in deployment.workers[:2]:
+        worker.script = send_unframed
+    deployment.links[0].cut("refused")
+    connection = await begin(deployment.callers[0], "/chat/1", "c1")
+    await read_events(connection, 2)
+    end_tunnels(find_carrier(deployment))
+    with pytest.raises(BrokenResponseError):
+        while not isinstance(await asyncio.wait_for(connection.read(), 1.0), BodyEnd):
+            pass
+    connection.close()
+
+
 # Guards against workers that go on for callers that are gone.
 async def test_the_worker_learns_within_half_a_second_that_a_caller_left(deployment):
     stream = PausingStream()
@@ -343,7 +389,10 @@
 
 
 # Guards against requests of others that are cut off by a planned stop, and against new ones there.
-async def test_a_peer_that_stops_finishes_its_tunnels_and_opens_no_new_ones(deployment):
+async def test_a_peer_that_stops_finishes_its_tunnels_and_opens_no_new_ones(
+    deployment, monkeypatch
+):
+    monkeypatch.setattr(daemon, "READINESS_LAG_SECONDS", 0.2)
     stream = PausingStream()
     for worker in deployment.workers[:2]:
         worker.script = stream
@@ -354,7 +403,8 @@
     links = deployment.links[deployment.entries.index(carrier)]
     before = links.carried.total()
     draining = asyncio.create_task(carrier.drain())
-    await asyncio.sleep(0.05)
+    # Longer than a stop takes without tunnels.
+    await asyncio.sleep(0.5)
     for number in range(4):
         answer = await deployment.callers[0].ask("/book/1", request_id=f"b{number}")
         assert answer.status == 200 and len(deployment.arrivals(f"b{number}")) == 1
@@ -363,7 +413,7 @@
     stream.resume.set()
     assert received + await read_events(connection, 2) == COMPLETE_BODY
     connection.close()
-    await asyncio.wait_for(draining, 5.0)
+    await asyncio.wait_for(draining, 1.0)
 
 
 # Guards against workers that are given more time than the caller has left.
