--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -196,7 +196,8 @@
         job.lost_attempts += 1
         if error.crashed and job.on_crash is not None:
             job.on_crash(worker)
-        self._workers.record_failure(tracked, str(error))
+        if not error.tunnelled:
+            self._workers.record_failure(tracked, str(error))
         self._log.info(
             "an attempt was lost",
             request=job.request.id,
@@ -281,6 +282,9 @@
             yield connection
         except BrokenResponseError as error:
             connection.close()
+            if connection.tunnelled:
+                self._workers.record_broken_tunnel(connection)
+                raise UpstreamLostError(str(error), crashed=False, tunnelled=True) from error
             # A worker whose response exceeds a limit is still running.
             crashed = not isinstance(error, ResponseTooLargeError)
             raise UpstreamLostError(str(error), crashed=crashed) from error
--- a/egretford/entry/peers.py
+++ b/egretford/entry/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import contextlib
 import random
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -15,21 +15,19 @@
 from egretford.entry.keepers import KeeperClient
 from egretford.errors import EgretfordError
 from egretford.keeper.messages import AnnounceEntry, EntryList, OutdatedView
-from egretford.policy.detours import PeerEntry, rank_peers
+from egretford.policy.detours import EntryRegistry, PeerEntry, rank_peers
 from egretford.policy.views import Member
 
 # Interval of announcements, in seconds; keepers forget an entry after several of them.
 ANNOUNCE_SECONDS = 3.0
 # Age of the list of entries, in seconds, above which it is read again when it is used.
 MAX_LIST_AGE_SECONDS = 2.0
-# Age of the list, in seconds, above which it is not used before it has been read again.
-STALE_LIST_SECONDS = 10.0
-# Timeout of reading the list, in seconds. One round trip to another region takes some tens of
+# Longest wait for the list, in seconds. One round trip to another region takes some tens of
 # milliseconds, and one of the keepers may be silent.
-READ_TIMEOUT_SECONDS = 0.2
+READ_TIMEOUT_SECONDS = 0.15
 # Failure domains of which a keeper is asked; each keeper knows the entries near it.
-MAX_ASKED_DOMAINS = 3
-# Seconds for which an entry that gave no tunnel is avoided.
+MAX_ASKED_DOMAINS = 8
+# Seconds for which other entries are preferred to one that gave no tunnel.
 AVOID_SECONDS = 3.0
 
 
@@ -54,9 +52,10 @@
         self._rng = rng
         self._log = log
         self._tasks = TaskGroup()
-        self._peers: dict[str, PeerEntry] = {}
+        self._known = EntryRegistry()
         self._read_at: float | None = None
-        self._read: asyncio.Task[None] | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._updated = asyncio.Event()
         self._avoided_until: dict[str, float] = {}
 
     async def start(self) -> None:
@@ -72,10 +71,13 @@
         self._tasks.spawn(self._announce())
 
     async def _announce(self) -> None:
-        nearest = self._keepers.rank_by_distance(self._keepers.list_available())[:1]
-        await asyncio.gather(*(self._ask(member, with_list=False) for member in nearest))
+        """Announce this entry to the nearest keeper that answers."""
+        for member in self._keepers.rank_by_distance(self._keepers.list_available()):
+            if await self._ask(member, with_list=False) is not None:
+                return
 
-    async def _ask(self, member: Member, *, with_list: bool) -> tuple[PeerEntry, ...]:
+    async def _ask(self, member: Member, *, with_list: bool) -> tuple[PeerEntry, ...] | None:
+        """Announce this entry to a keeper; returns the entries that it lists, None on failure."""
         own = evolve(self._own, isolated=self._is_isolated())
         message = AnnounceEntry(own, with_list)
         try:
@@ -84,57 +86,67 @@
                 reply = await self._keepers.send_request(member, message)
         except EgretfordError:
             # The keeper client logs failures.
-            return ()
-        return reply.entries if isinstance(reply, EntryList) else ()
+            return None
+        return reply.entries if isinstance(reply, EntryList) else None
 
     async def list_peers(self) -> list[PeerEntry]:
         """Return other entries, in the order to ask them for a tunnel."""
-        reading = self._refresh()
-        if reading is not None and self._measure_age() > STALE_LIST_SECONDS:
-            await asyncio.wait([reading], timeout=READ_TIMEOUT_SECONDS)
+        await self._read_until(self._has_peers)
         now = self._clock.monotonic()
-        ranked = rank_peers(self._peers.values(), self._own, self._regions, self._rng)
-        return [peer for peer in ranked if self._avoided_until.get(peer.address, 0.0) <= now]
+        ranked = rank_peers(self._known.list_recent(now), self._own, self._regions, self._rng)
+        return sorted(ranked, key=lambda peer: self._avoided_until.get(peer.address, 0.0) > now)
 
     async def knows(self, ip: str) -> bool:
         """Whether an entry of the deployment has this IP address."""
-        reading = None if self._has_ip(ip) else self._refresh()
-        if reading is not None:
-            await asyncio.wait([reading], timeout=READ_TIMEOUT_SECONDS)
+        if not self._has_ip(ip):
+            await self._read_until(lambda: self._has_ip(ip))
         return self._has_ip(ip)
 
+    def _has_peers(self) -> bool:
+        known = self._known.list_recent(self._clock.monotonic())
+        return any(peer.name != self._own.name for peer in known)
+
     def _has_ip(self, ip: str) -> bool:
-        return any(peer.address.rpartition(":")[0] == ip for peer in self._peers.values())
+        known = self._known.list_recent(self._clock.monotonic())
+        return any(peer.address.rpartition(":")[0] == ip for peer in known)
 
-    def avoid(self, peer: PeerEntry) -> None:
-        """Do not use an entry for a while, since it gave no tunnel."""
+    def avoid(self, address: str) -> None:
+        """Prefer other entries for a while to the one at an address, since it gave no tunnel."""
         now = self._clock.monotonic()
         self._avoided_until = {a: until for a, until in self._avoided_until.items() if until > now}
-        self._avoided_until[peer.address] = now + AVOID_SECONDS
-
-    def _measure_age(self) -> float:
-        return math.inf if self._read_at is None else self._clock.monotonic() - self._read_at
+        self._avoided_until[address] = now + AVOID_SECONDS
 
-    def _refresh(self) -> asyncio.Task[None] | None:
-        """Read the list in the background unless it is recent; there is one reading at a time."""
-        if self._read is None and self._measure_age() >= MAX_LIST_AGE_SECONDS:
-            self._read = self._tasks.spawn(self._read_list())
-        return self._read
+    async def _read_until(self, is_enough: Callable[[], bool]) -> None:
+        """Start to read the list unless it is recent, and wait for it if it is needed."""
+        now = self._clock.monotonic()
+        is_recent = self._read_at is not None and now - self._read_at < MAX_LIST_AGE_SECONDS
+        if self._reading is None and not is_recent:
+            self._reading = self._tasks.spawn(self._read_list())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+                while self._reading is not None and not is_enough():
+                    await self._updated.wait()
 
     async def _read_list(self) -> None:
         asked: dict[str, Member] = {}
         for member in self._keepers.rank_by_distance(self._keepers.list_available()):
             asked.setdefault(member.failure_domain, member)
         members = list(asked.values())[:MAX_ASKED_DOMAINS]
-        found: dict[str, PeerEntry] = {}
+        found: set[str] = set()
         try:
             requests = [self._ask(member, with_list=True) for member in members]
             for request in asyncio.as_completed(requests):
-                found |= {peer.name: peer for peer in await request}
-                self._peers |= found
+                for peer in await request or ():
+                    self._known.add(peer, self._clock.monotonic())
+                    found.add(peer.name)
+                self._notify()
             if found:
-                self._peers = found
                 self._read_at = self._clock.monotonic()
         finally:
-            self._read = None
+            self._reading = None
+            self._notify()
         self._log.info("read the list of entries", entries=len(found), asked=len(members))
+
+    def _notify(self) -> None:
+        self._updated.set()
+        self._updated = asyncio.Event()
--- a/egretford/entry/tunnels.py
+++ b/egretford/entry/tunnels.py
@@ -46,13 +46,13 @@
 
     @property
     def active(self) -> int:
-        """The number of open tunnels."""
+        """The number of admitted tunnels."""
         return len(self._server.tunnels)
 
     async def _admit(self, ip: str, target: str) -> None:
         if self.draining:
             raise TunnelRefusedError(503, "this entry stops")
-        if self.active > MAX_TUNNELS:
+        if self.active >= MAX_TUNNELS:
             raise TunnelRefusedError(503, f"over {MAX_TUNNELS} tunnels are open")
         if not self._workers.has_usable_address(target):
             raise TunnelRefusedError(
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -77,7 +77,8 @@
         self._clock = clock
         self._store = store
         self._dialer = dialer
-        dialer.on_isolated = self.close
+        dialer.on_blocked = self._handle_blocked
+        dialer.is_listed = self._has_address
         self._log = log
         self._workers: dict[str, TrackedWorker] = {}
         self._leaving_runs = LeavingRuns()
@@ -194,6 +195,18 @@
             usable = [t for t in found if not t.state.leaving]
         return usable
 
+    def _has_address(self, address: str) -> bool:
+        return any(tracked.worker.address == address for tracked in self._workers.values())
+
+    def _handle_blocked(self, address: str) -> None:
+        """Close the idle connections to a worker that cannot be reached, as they may be silent.
+
+        With a second one, others may be unreachable as well, so all idle connections are closed.
+        """
+        for tracked in self._workers.values():
+            if tracked.worker.address == address or self._dialer.blocked_count > 1:
+                tracked.close_idle()
+
     def has_usable_address(self, address: str) -> bool:
         """Whether a worker that is not leaving has this address (IP:PORT)."""
         return any(
@@ -277,6 +290,10 @@
         else:
             connection.close()
 
+    def record_broken_tunnel(self, connection: ClientConnection) -> None:
+        """Prefer other entries for tunnels for a while."""
+        self._dialer.record_broken_tunnel(connection.tunnel_server)
+
     def close(self) -> None:
         """Close the pooled connections of all workers."""
         for tracked in self._workers.values():
--- a/egretford/http/tunnel.py
+++ b/egretford/http/tunnel.py
@@ -21,6 +21,8 @@
 HEAD_TIMEOUT_SECONDS = 2.0
 # Limit on the bytes of a request for a tunnel.
 MAX_HEAD_BYTES = 4_096
+# Connections on which no tunnel was admitted yet; any further ones are reset.
+MAX_UNADMITTED = 256
 # Connections waiting to be accepted.
 BACKLOG = 512
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -41,7 +43,8 @@
 class TunnelServer:
     """Listens for requests for tunnels, and connects them to their targets.
 
-    `connect_timeout` is the time for a connection to a target, in seconds.
+    `connect_timeout` is the time for a connection to a target, in seconds. `tunnels` has the
+    admitted ones.
     """
 
     def __init__(self, admit: Admit, connect_timeout: float, log: Any) -> None:
@@ -50,6 +53,7 @@
         self._log = log
         self._tasks = TaskGroup()
         self._server: asyncio.Server | None = None
+        self._connections: set[_CallerEnd] = set()
         self.tunnels: set[_CallerEnd] = set()
 
     async def start(self, address: str) -> None:
@@ -64,10 +68,20 @@
         """Stop listening and reset all tunnels."""
         if self._server is not None:
             self._server.close()
-        for tunnel in list(self.tunnels):
-            tunnel.reset()
+        for connection in list(self._connections):
+            connection.reset()
         await self._tasks.close()
 
+    def add(self, connection: _CallerEnd) -> bool:
+        """Count a connection; returns whether there is room for it."""
+        self._connections.add(connection)
+        return len(self._connections) - len(self.tunnels) <= MAX_UNADMITTED
+
+    def remove(self, connection: _CallerEnd) -> None:
+        """Forget a connection that was closed."""
+        self._connections.discard(connection)
+        self.tunnels.discard(connection)
+
     def open(self, caller: _CallerEnd, target: str) -> None:
         """Connect a tunnel in the background."""
         self._tasks.spawn(self._open(caller, target))
@@ -75,6 +89,8 @@
     async def _open(self, caller: _CallerEnd, target: str) -> None:
         try:
             await self._admit(caller.peer, target)
+            if not caller.closed:
+                self.tunnels.add(caller)
             upstream = await self._connect(caller, target)
         except TunnelRefusedError as error:
             self._log.info(
@@ -192,13 +208,14 @@
         """Start the timer of the request."""
         super().connection_made(transport)
         self.peer = str((transport.get_extra_info("peername") or ("",))[0])
-        self._server.tunnels.add(self)
+        if not self._server.add(self):
+            self.reset()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HEAD_TIMEOUT_SECONDS, self._handle_timeout)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Forget the tunnel."""
-        self._server.tunnels.discard(self)
+        self._server.remove(self)
         self._timer.cancel()
         super().connection_lost(error)
 
