--- a/egretford/entry/dialing.py
+++ b/egretford/entry/dialing.py
@@ -117,11 +117,13 @@
                     peer.address, worker.address, TUNNEL_TIMEOUT_SECONDS
                 )
             except TargetUnreachableError as failure:
+                self._directory.record_failure(peer)
                 failed_domains.add(peer.failure_domain)
                 if len(failed_domains) > 1:
                     raise
                 error = failure
             except TargetRefusedError as failure:
+                self._directory.record_failure(peer)
                 self._metrics.count("tunnels.refused")
                 error = failure
             except ConnectError as failure:
--- a/egretford/entry/peers.py
+++ b/egretford/entry/peers.py
@@ -58,6 +58,7 @@
         self._read_at: float | None = None
         self._read: asyncio.Task[None] | None = None
         self._avoided_until: dict[str, float] = {}
+        self._failed_until: dict[str, float] = {}
 
     async def start(self) -> None:
         """Start to announce this entry."""
@@ -94,6 +95,7 @@
             await asyncio.wait([reading], timeout=READ_TIMEOUT_SECONDS)
         now = self._clock.monotonic()
         ranked = rank_peers(self._peers.values(), self._own, self._regions, self._rng)
+        ranked.sort(key=lambda peer: self._failed_until.get(peer.address, 0.0) > now)
         return [peer for peer in ranked if self._avoided_until.get(peer.address, 0.0) <= now]
 
     async def knows(self, ip: str) -> bool:
@@ -112,6 +114,15 @@
         self._avoided_until = {a: until for a, until in self._avoided_until.items() if until > now}
         self._avoided_until[peer.address] = now + AVOID_SECONDS
 
+    def record_failure(self, peer: PeerEntry) -> None:
+        """Ask an entry last for a while, since it did not reach a worker.
+
+        It may be isolated without knowing, or the worker is dead, for which it must not be avoided.
+        """
+        now = self._clock.monotonic()
+        self._failed_until = {a: until for a, until in self._failed_until.items() if until > now}
+        self._failed_until[peer.address] = now + AVOID_SECONDS
+
     def _measure_age(self) -> float:
         return math.inf if self._read_at is None else self._clock.monotonic() - self._read_at
 
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -23,8 +23,10 @@
 KEEP_ALIVE_SECONDS = 1
 # Status with which a tunnel server reports that it cannot connect to the target.
 TARGET_UNREACHABLE_STATUS = 502
-# Status with which it reports that it opens no tunnel to this target, though it may to others.
+# Statuses with which it reports that it opens no tunnel to this target, though it may to others,
+# and that it carries as many as it may at the moment.
 TARGET_REFUSED_STATUS = 403
+TUNNELS_EXHAUSTED_STATUS = 429
 # Unread response bytes above which reading from the socket pauses.
 HIGH_WATER_BYTES = 262_144
 # Approximate memory of an unread event besides its body, so that many small events count too.
@@ -45,7 +47,7 @@
 
 
 class TargetRefusedError(ConnectError):
-    """A tunnel server opens no tunnel to the target, though it may to others."""
+    """A tunnel server opens no tunnel to the target now, though it may to others or soon."""
 
 
 class BrokenResponseError(EgretfordError):
@@ -150,7 +152,7 @@
         head = await self.read()
         if head.status == TARGET_UNREACHABLE_STATUS:
             raise TargetUnreachableError(f"{self.address}: no connection to {address}")
-        if head.status == TARGET_REFUSED_STATUS:
+        if head.status in (TARGET_REFUSED_STATUS, TUNNELS_EXHAUSTED_STATUS):
             raise TargetRefusedError(f"{self.address}: refuses a tunnel to {address}")
         if head.status != 200:
             raise ConnectError(f"{self.address}: status {head.status} for a tunnel to {address}")
