--- a/tests/entry/test_dialing.py
+++ b/tests/entry/test_dialing.py
@@ -13,7 +13,7 @@
 from egretford.entry import dialing
 from egretford.entry.dialing import MAX_PEERS_ASKED, WorkerDialer
 from egretford.entry.models import Worker
-from egretford.entry.tunnels import WorkerTunnels
+from egretford.entry.tunnels import MAX_TUNNELS, WorkerTunnels
 from egretford.entry.workers import WorkerTable
 from egretford.http.client import ClientConnection, ConnectError
 from egretford.metrics import Metrics
@@ -42,6 +42,9 @@
     def avoid(self, peer) -> None:
         self.avoided.add(peer.name)
 
+    def record_failure(self, peer) -> None:
+        pass
+
     def announce_now(self) -> None:
         self.announced += 1
 
@@ -236,18 +239,23 @@
 
 
 # Guards against peers that are avoided because they know of one worker what this entry does not:
-# that it is leaving, or that they are cut off from it.
-@pytest.mark.parametrize("reason", ["leaving", "blocked"])
+# that it is leaving, or that they are cut off from it; or because they were full for a moment.
+@pytest.mark.parametrize("reason", ["leaving", "blocked", "exhausted"])
 async def test_a_peer_that_refuses_one_worker_is_still_used_for_others(network, reason):
     worker, other = await network.add_worker(), await network.add_worker()
     peer = await network.add_peer()
     network.path.state = "refused"
-    if reason == "leaving":
+    if reason == "exhausted":
+        held = [object() for _ in range(MAX_TUNNELS)]
+        peer._server.tunnels.update(held)
+    elif reason == "leaving":
         peer.part.has_usable_address = lambda address: address != worker.address
     else:
         peer.part.is_blocked = lambda address: address == worker.address
     with pytest.raises(ConnectError):
         await network.dialer.open(worker)
+    if reason == "exhausted":
+        peer._server.tunnels.difference_update(held)
     connection = await network.dialer.open(other)
     assert connection.tunnelled
     connection.close()
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -60,7 +60,7 @@
 
     def fail_keeper(self, domain: str) -> None:
         def fail(message):
-            raise RequestError(ErrorKind.INVALID_REQUEST, "unknown message")
+            raise RequestError(ErrorKind.INTERNAL, "unknown message")
 
         self.peers.answers[domain] = (fail, 0.0)
 
@@ -185,6 +185,19 @@
         await asyncio.sleep(0.1)
 
 
+# Guards against tries at peers that are isolated without having said so, and against avoiding all
+# peers for a worker that is dead.
+async def test_an_entry_that_did_not_reach_a_worker_is_asked_last_for_a_while(
+    make_keepers, monkeypatch
+):
+    monkeypatch.setattr(module, "AVOID_SECONDS", 0.2)
+    keepers = make_keepers(z=(NEAR,), y=(FAR,))
+    keepers.directory.record_failure(NEAR)
+    assert await keepers.list_names() == ["far", "near"]
+    await asyncio.sleep(0.25)
+    assert await keepers.list_names() == ["near", "far"]
+
+
 async def test_an_entry_that_gave_no_tunnel_is_avoided_for_a_while(make_keepers, monkeypatch):
     monkeypatch.setattr(module, "AVOID_SECONDS", 0.2)
     keepers = make_keepers(z=(NEAR,), y=(FAR,))
