--- a/egretford/entry/dialing.py
+++ b/egretford/entry/dialing.py
@@ -13,7 +13,6 @@
 from egretford.http.client import (
     ClientConnection,
     ConnectError,
-    TargetRefusedError,
     TargetUnreachableError,
 )
 from egretford.metrics import Metrics
@@ -158,13 +157,11 @@
                     peer.address, worker.address, TUNNEL_TIMEOUT_SECONDS
                 )
             except TargetUnreachableError as failure:
+                self._directory.avoid(peer.address)
                 failed_domains.add(peer.failure_domain)
                 if len(failed_domains) > 1:
                     raise
                 error = failure
-            except TargetRefusedError as failure:
-                self._metrics.count("tunnels.refused")
-                error = failure
             except ConnectError as failure:
                 self._log.info(
                     "got no tunnel", worker=worker.id, peer=peer.name, error=str(failure)
--- a/egretford/entry/peers.py
+++ b/egretford/entry/peers.py
@@ -111,7 +111,10 @@
         return any(peer.address.rpartition(":")[0] == ip for peer in known)
 
     def avoid(self, address: str) -> None:
-        """Prefer other entries for a while to the one at an address, since it gave no tunnel."""
+        """Ask the entry at an address last for a while, since it gave no tunnel.
+
+        It may be isolated without knowing; or the worker is dead, so it may still help with others.
+        """
         now = self._clock.monotonic()
         self._avoided_until = {a: until for a, until in self._avoided_until.items() if until > now}
         self._avoided_until[address] = now + AVOID_SECONDS
--- a/egretford/entry/tunnels.py
+++ b/egretford/entry/tunnels.py
@@ -7,7 +7,6 @@
 from egretford.entry.dialing import WorkerDialer
 from egretford.entry.peers import EntryDirectory
 from egretford.entry.workers import WorkerTable
-from egretford.http.client import TARGET_REFUSED_STATUS
 from egretford.http.tunnel import TunnelRefusedError, TunnelServer
 
 # Tunnels that one entry carries at once; each is one request of another entry's callers.
@@ -55,12 +54,8 @@
         if self.active >= MAX_TUNNELS:
             raise TunnelRefusedError(503, f"over {MAX_TUNNELS} tunnels are open")
         if not self._workers.has_usable_address(target):
-            raise TunnelRefusedError(
-                TARGET_REFUSED_STATUS, "no worker that may be used has this address"
-            )
+            raise TunnelRefusedError(403, "no worker that may be used has this address")
         if self._dialer.is_blocked(target):
-            raise TunnelRefusedError(
-                TARGET_REFUSED_STATUS, "this entry does not reach the worker either"
-            )
+            raise TunnelRefusedError(503, "this entry does not reach the worker either")
         if not await self._directory.knows(ip):
             raise TunnelRefusedError(403, "no entry of the deployment has this IP address")
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -60,7 +60,7 @@
 
     def fail_keeper(self, domain: str) -> None:
         def fail(message):
-            raise RequestError(ErrorKind.INVALID_REQUEST, "unknown message")
+            raise RequestError(ErrorKind.BAD_REQUEST, "unknown message")
 
         self.peers.answers[domain] = (fail, 0.0)
 
