--- a/egretford/entry/dialing.py
+++ b/egretford/entry/dialing.py
@@ -14,6 +14,7 @@
     ClientConnection,
     ConnectError,
     TargetUnreachableError,
+    TunnelsExhaustedError,
 )
 from egretford.metrics import Metrics
 
@@ -162,6 +163,9 @@
                 if len(failed_domains) > 1:
                     raise
                 error = failure
+            except TunnelsExhaustedError as failure:
+                self._metrics.count("tunnels.refused")
+                error = failure
             except ConnectError as failure:
                 self._log.info(
                     "got no tunnel", worker=worker.id, peer=peer.name, error=str(failure)
--- a/egretford/entry/peers.py
+++ b/egretford/entry/peers.py
@@ -76,7 +76,9 @@
             if await self._ask(member, with_list=False) is not None:
                 return
 
-    async def _ask(self, member: Member, *, with_list: bool) -> tuple[PeerEntry, ...] | None:
+    async def _ask(
+        self, member: Member, *, with_list: bool
+    ) -> tuple[tuple[PeerEntry, float], ...] | None:
         """Announce this entry to a keeper; returns the entries that it lists, None on failure."""
         own = evolve(self._own, isolated=self._is_isolated())
         message = AnnounceEntry(own, with_list)
@@ -94,7 +96,11 @@
         await self._read_until(self._has_peers)
         now = self._clock.monotonic()
         ranked = rank_peers(self._known.list_recent(now), self._own, self._regions, self._rng)
-        return sorted(ranked, key=lambda peer: self._avoided_until.get(peer.address, 0.0) > now)
+
+        def is_avoided(peer: PeerEntry) -> bool:
+            return self._avoided_until.get(peer.address, 0.0) > now
+
+        return sorted(ranked, key=lambda peer: (peer.isolated, is_avoided(peer)))
 
     async def knows(self, ip: str) -> bool:
         """Whether an entry of the deployment has this IP address."""
@@ -139,8 +145,8 @@
         try:
             requests = [self._ask(member, with_list=True) for member in members]
             for request in asyncio.as_completed(requests):
-                for peer in await request or ():
-                    self._known.add(peer, self._clock.monotonic())
+                for peer, age in await request or ():
+                    self._known.add(peer, self._clock.monotonic() - age)
                     found.add(peer.name)
                 self._notify()
             if found:
--- a/egretford/entry/tunnels.py
+++ b/egretford/entry/tunnels.py
@@ -7,6 +7,7 @@
 from egretford.entry.dialing import WorkerDialer
 from egretford.entry.peers import EntryDirectory
 from egretford.entry.workers import WorkerTable
+from egretford.http.client import TUNNELS_EXHAUSTED_STATUS
 from egretford.http.tunnel import TunnelRefusedError, TunnelServer
 
 # Tunnels that one entry carries at once; each is one request of another entry's callers.
@@ -52,7 +53,7 @@
         if self.draining:
             raise TunnelRefusedError(503, "this entry stops")
         if self.active >= MAX_TUNNELS:
-            raise TunnelRefusedError(503, f"over {MAX_TUNNELS} tunnels are open")
+            raise TunnelRefusedError(TUNNELS_EXHAUSTED_STATUS, f"{MAX_TUNNELS} tunnels are open")
         if not self._workers.has_usable_address(target):
             raise TunnelRefusedError(403, "no worker that may be used has this address")
         if self._dialer.is_blocked(target):
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -23,6 +23,8 @@
 KEEP_ALIVE_SECONDS = 1
 # Status with which a tunnel server reports that it cannot connect to the target.
 TARGET_UNREACHABLE_STATUS = 502
+# Status with which it reports that it carries as many tunnels as it may at the moment.
+TUNNELS_EXHAUSTED_STATUS = 429
 # Unread response bytes above which reading from the socket pauses.
 HIGH_WATER_BYTES = 262_144
 # Approximate memory of an unread event besides its body, so that many small events count too.
@@ -42,6 +44,10 @@
     """A tunnel server could not connect to the target either."""
 
 
+class TunnelsExhaustedError(ConnectError):
+    """A tunnel server carries as many tunnels as it may at the moment."""
+
+
 class BrokenResponseError(EgretfordError):
     """The connection was closed, or the response was malformed, before the response was complete.
 
@@ -121,7 +127,8 @@
     async def open_tunnel(cls, server: str, address: str, timeout: float) -> ClientConnection:
         """Connect to `address` through the tunnel server at `server`, within `timeout` seconds.
 
-        Raises TargetUnreachableError if that server cannot connect, else ConnectError.
+        Raises TargetUnreachableError if that server cannot connect, TunnelsExhaustedError if it
+        has too many tunnels, else ConnectError.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
@@ -143,6 +150,8 @@
         head = await self.read()
         if head.status == TARGET_UNREACHABLE_STATUS:
             raise TargetUnreachableError(f"{self.address}: no connection to {address}")
+        if head.status == TUNNELS_EXHAUSTED_STATUS:
+            raise TunnelsExhaustedError(f"{self.address}: no further tunnel to {address}")
         if head.status != 200:
             raise ConnectError(f"{self.address}: status {head.status} for a tunnel to {address}")
         if self._events:
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -192,9 +192,12 @@
 
 @frozen
 class EntryList:
-    """The entries that announced themselves to the keeper lately; kept in memory only."""
+    """The entries that announced themselves to the keeper lately; kept in memory only.
 
-    entries: tuple[PeerEntry, ...]
+    Each comes with the age of its announcement, in seconds.
+    """
+
+    entries: tuple[tuple[PeerEntry, float], ...]
 
 
 @frozen
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -183,7 +183,7 @@
             case AnnounceEntry():
                 now = self._clock.monotonic()
                 self._entries.add(message.entry, now)
-                return EntryList(self._entries.list_recent(now) if message.with_list else ())
+                return EntryList(tuple(self._entries.list_seen(now)) if message.with_list else ())
             case Keep(charge=None):
                 # A turn that is synced here counts as a copy even while other records are missing.
                 return await self._keep(message) if self._is_active else NotReady("does not count")
--- a/egretford/policy/detours.py
+++ b/egretford/policy/detours.py
@@ -60,18 +60,28 @@
 
     _seen: dict[str, tuple[PeerEntry, float]] = Factory(dict)
 
-    def add(self, entry: PeerEntry, now: float) -> None:
-        """Record an announcement; the entry announced longest ago is dropped above the limit."""
+    def add(self, entry: PeerEntry, seen_at: float) -> None:
+        """Record an announcement, unless a newer one is known.
+
+        Above the limit, the entry recorded longest ago is dropped.
+        """
+        known = self._seen.get(entry.name)
+        if known is not None and known[1] > seen_at:
+            return
         self._seen.pop(entry.name, None)
-        self._seen[entry.name] = entry, now
+        self._seen[entry.name] = entry, seen_at
         if len(self._seen) > MAX_ENTRIES:
             del self._seen[next(iter(self._seen))]
 
     def list_recent(self, now: float) -> tuple[PeerEntry, ...]:
         """Return the entries that are not forgotten yet."""
+        return tuple(entry for entry, _ in self.list_seen(now))
+
+    def list_seen(self, now: float) -> list[tuple[PeerEntry, float]]:
+        """Return the entries that are not forgotten yet, with the age of their announcement."""
         self._seen = {
             name: (entry, seen)
             for name, (entry, seen) in self._seen.items()
             if now - seen < ENTRY_TTL_SECONDS
         }
-        return tuple(entry for entry, _ in self._seen.values())
+        return [(entry, now - seen) for entry, seen in self._seen.values()]
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -51,7 +51,8 @@
             if message.view < self.view.number:
                 return OutdatedView(self.view)
             self.announced.append((domain, message))
-            return EntryList(self.entries[domain] if message.with_list else ())
+            listed = tuple((entry, 0.0) for entry in self.entries[domain])
+            return EntryList(listed if message.with_list else ())
 
         return reply
 
--- a/tests/load/tunnel_world.py
+++ b/tests/load/tunnel_world.py
@@ -16,8 +16,10 @@
 from egretford.errors import PeerUnreachableError
 from egretford.http.client import (
     TARGET_UNREACHABLE_STATUS,
+    TUNNELS_EXHAUSTED_STATUS,
     ConnectError,
     TargetUnreachableError,
+    TunnelsExhaustedError,
 )
 from egretford.http.tunnel import TunnelRefusedError
 from egretford.keeper.messages import EntryList
@@ -33,6 +35,10 @@
 WORKERS = tuple(
     Worker(f"w-{number}", "m", f"10.1.0.{number}:80", "a", 8, leaving=False) for number in range(6)
 )
+REFUSALS = {
+    TARGET_UNREACHABLE_STATUS: TargetUnreachableError,
+    TUNNELS_EXHAUSTED_STATUS: TunnelsExhaustedError,
+}
 
 # The entry that opens a connection in the current task.
 _asker: ContextVar[Entry] = ContextVar("asker")
@@ -60,7 +66,7 @@
         now = self.world.now
         registry = self.world.registries[member.name]
         registry.add(message.entry, now)
-        return EntryList(registry.list_recent(now) if message.with_list else ())
+        return EntryList(tuple(registry.list_seen(now)) if message.with_list else ())
 
 
 class Connection:
@@ -170,10 +176,7 @@
                     raise ConnectError("connection refused")
                 return await peer.accept_tunnel(_asker.get().ip, address)
         except TunnelRefusedError as error:
-            is_unreachable = error.status == TARGET_UNREACHABLE_STATUS
-            raise (TargetUnreachableError if is_unreachable else ConnectError)(
-                str(error)
-            ) from error
+            raise REFUSALS.get(error.status, ConnectError)(str(error)) from error
         except TimeoutError as error:
             raise ConnectError("timed out") from error
 
