--- a/egretford/entry/peers.py
+++ b/egretford/entry/peers.py
@@ -95,7 +95,7 @@
             await asyncio.wait([reading], timeout=READ_TIMEOUT_SECONDS)
         now = self._clock.monotonic()
         ranked = rank_peers(self._peers.values(), self._own, self._regions, self._rng)
-        ranked.sort(key=lambda peer: self._failed_until.get(peer.address, 0.0) > now)
+        ranked.sort(key=lambda p: (p.isolated, self._failed_until.get(p.address, 0.0) > now))
         return [peer for peer in ranked if self._avoided_until.get(peer.address, 0.0) <= now]
 
     async def knows(self, ip: str) -> bool:
@@ -115,7 +115,7 @@
         self._avoided_until[peer.address] = now + AVOID_SECONDS
 
     def record_failure(self, peer: PeerEntry) -> None:
-        """Ask an entry last for a while, since it did not reach a worker.
+        """Ask others in touch before an entry for a while, since it opened no tunnel to a worker.
 
         It may be isolated without knowing, or the worker is dead, for which it must not be avoided.
         """
