Make the world of many isolated entries reproducible, and test the order of failed peers

The order in which keepers' replies came depended on the order of tasks in a set; replies now take a different time from each keeper.

--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from egretford.clock import SystemClock
 from egretford.entry import peers as module
@@ -198,6 +199,13 @@
     assert await keepers.list_names() == ["near", "far"]
 
 
+# Guards against tries at peers that said that they are isolated before one that was full.
+async def test_an_isolated_entry_is_asked_after_one_that_did_not_reach_a_worker(make_keepers):
+    keepers = make_keepers(z=(evolve(NEAR, isolated=True),), y=(FAR,))
+    keepers.directory.record_failure(FAR)
+    assert await keepers.list_names() == ["far", "near"]
+
+
 async def test_an_entry_that_gave_no_tunnel_is_avoided_for_a_while(make_keepers, monkeypatch):
     monkeypatch.setattr(module, "AVOID_SECONDS", 0.2)
     keepers = make_keepers(z=(NEAR,), y=(FAR,))
--- a/tests/load/tunnel_world.py
+++ b/tests/load/tunnel_world.py
@@ -61,7 +61,8 @@
 
     async def send_request(self, member: Member, message):
         self.world.messages += 1
-        await asyncio.sleep(LATENCY_SECONDS)
+        # Differs by keeper, so that the order of replies does not depend on that of tasks in sets.
+        await asyncio.sleep(LATENCY_SECONDS * (1 + ord(member.name) / 1_000))
         if member.name in self.world.silent_keepers:
             await asyncio.sleep(1.0)
             raise PeerUnreachableError("silent")
