Announce an entry as soon as it knows a keeper

Fault of the draft: the first announcement, at the start, found no keeper while the view was not read yet, and the next one came 3 s later; until then others did not find the entry. Red before: test_an_entry_announces_itself_once_it_knows_a_keeper.

--- a/egretford/entry/peers.py
+++ b/egretford/entry/peers.py
@@ -20,6 +20,8 @@
 
 # Interval of announcements, in seconds; keepers forget an entry after several of them.
 ANNOUNCE_SECONDS = 3.0
+# Pause while no keeper is available, as before the view is known, in seconds.
+NO_KEEPER_PAUSE_SECONDS = 0.2
 # Age of the list of entries, in seconds, above which it is read again when it is used.
 MAX_LIST_AGE_SECONDS = 2.0
 # Longest wait for the list, in seconds. One round trip to another region takes some tens of
@@ -71,7 +73,9 @@
         self._tasks.spawn(self._announce())
 
     async def _announce(self) -> None:
-        """Announce this entry to the nearest keeper that answers."""
+        """Announce this entry to the nearest keeper that answers, once one is available."""
+        while not self._keepers.list_available():
+            await self._clock.sleep(NO_KEEPER_PAUSE_SECONDS)
         for member in self._keepers.rank_by_distance(self._keepers.list_available()):
             if await self._ask(member, with_list=False) is not None:
                 return
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -99,6 +99,19 @@
     assert 2 <= len(keepers.announced) <= 4 and {d for d, _ in keepers.announced} == {"z"}
 
 
+# Guards against an entry that others do not find for seconds after it started, as it knew no keeper
+# at first.
+async def test_an_entry_announces_itself_once_it_knows_a_keeper(make_keepers):
+    keepers = make_keepers(z=(), y=())
+    keepers.client.view = View()
+    await keepers.directory.start()
+    await asyncio.sleep(0.1)
+    assert not keepers.announced
+    keepers.client.update_view(keepers.view)
+    await asyncio.sleep(0.4)
+    assert [d for d, _ in keepers.announced] == ["z"]
+
+
 async def test_an_entry_that_becomes_isolated_says_so_at_once(make_keepers):
     keepers = make_keepers(z=(), y=())
     await keepers.directory.start()
