--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, unquote
 
@@ -18,6 +20,8 @@
 
 # Objects on one page of a listing.
 PAGE_SIZE = 50
+# With this value of SO_LINGER, closing a socket sends a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class NullLog:
@@ -31,6 +35,18 @@
     )
 
 
+def send_raw(responder: Responder, data: bytes, end: str) -> bool:
+    """Write `data` as it is and end the connection; `end` is "close" or "reset"."""
+    connection = responder._connection
+    connection.write(data)
+    responder.finished = connection.close_after_response = True
+    if end == "reset":
+        sock = connection._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        connection.abort()
+    return True
+
+
 class ListeningStandin:
     """An HTTP server on a free port of the loopback address; subclasses define `handle`."""
 
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -3,18 +3,14 @@
 from __future__ import annotations
 
 import itertools
-import socket
-import struct
 
 import pytest
 
 from egretford.http.messages import encode_head, encode_status_line
 from tests.platform.deployment import run_deployment
-from tests.platform.standins import join_events, make_event
+from tests.platform.standins import join_events, make_event, send_raw
 from tests.platform.test_serving import ask_turn
 
-# With this value of SO_LINGER, closing a socket sends a reset.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 EVENTS = b"".join(make_event(number) for number in range(1, 5))
 
 
@@ -34,15 +30,8 @@
     async def script(worker, arrival, responder):
         if next(served) > attempts:
             return False
-        connection = responder._connection
         head = encode_head(encode_status_line(200), worker.sign(arrival.request_id))
-        connection.write(head + body)
-        responder.finished = connection.close_after_response = True
-        if end == "reset":
-            sock = connection._transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            connection.abort()
-        return True
+        return send_raw(responder, head + body, end)
 
     return script
 
