--- a/egretford/entry/events.py
+++ b/egretford/entry/events.py
@@ -18,7 +18,7 @@
 
 
 class EventError(EgretfordError):
-    """An event's id is not a number, or the stream exceeds a size limit."""
+    """The bytes are no valid stream of events, or exceed a size limit."""
 
 
 @frozen
@@ -34,9 +34,11 @@
 class EventSplitter:
     """Splits a byte stream into complete events.
 
-    Comments and blank lines are not events; their bytes are prepended to the next event's.
+    Comments and blank lines are not events; their bytes are prepended to the next event's. With
+    `rejects_text`, other blocks without an id or data are errors; otherwise they count as comments.
     """
 
+    rejects_text: bool = False
     _buffer: bytearray = Factory(bytearray)
     # Offsets in the buffer: the start of the first incomplete block, and the end of the bytes
     # that were searched for the block's end.
@@ -48,8 +50,11 @@
         self._buffer += data
         events = []
         while (end := self._find_block_end()) is not None:
-            event = parse_event(bytes(self._buffer[self._block_start : end]))
+            block = bytes(self._buffer[self._block_start : end])
+            event = parse_event(block)
             if event is None:
+                if self.rejects_text and not _is_comment(block):
+                    raise EventError(f"text instead of an event: {block[:40]!r}")
                 self._block_start = self._scanned = _LINE_BREAKS.match(self._buffer, end).end()
                 if self._block_start > MAX_COMMENT_BYTES:
                     raise EventError(f"over {MAX_COMMENT_BYTES} bytes before an event")
@@ -83,6 +88,10 @@
         return trailing
 
 
+def _is_comment(block: bytes) -> bool:
+    return all(not line or line.startswith(b":") for line in block.splitlines())
+
+
 def parse_event(raw: bytes) -> StreamEvent | None:
     """Return the event in a block, or None if the block has neither an id nor data.
 
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -65,7 +65,8 @@
         reply: WorkerReply,
     ) -> bytes:
         """Relay all events; returns the bytes after the last one, such as a line break."""
-        splitter = EventSplitter()
+        # Text in place of the rest of a stream is an error's, as workers send none before events.
+        splitter = EventSplitter(rejects_text=job.responder.started)
         last_event_at = self._clock.monotonic()
         while not isinstance(
             part := await self._read_stream_part(job, tracked, connection, last_event_at), BodyEnd
--- a/tests/platform/test_resumed_errors.py
+++ b/tests/platform/test_resumed_errors.py
@@ -48,6 +48,10 @@
     "encoded": (OK + OWN + b"Content-Encoding: gzip\r\n", "length", EVENT),
     "text": (OK + PLAIN, "length", TEXT),
     "line": (OK + PLAIN, "length", TEXT + b"\n"),
+    "paragraph": (OK + OWN, "length", TEXT + b"\n\n"),
+    "paragraph in chunks": (OK + OWN, "chunks", TEXT + b"\n\n"),
+    "paragraph until close": (OK + OWN, "until close", TEXT + b"\n\n"),
+    "paragraph, then an event": (OK + OWN, "length", TEXT + b"\n\n" + EVENT),
     "head only": (OK + OWN, "head only", TEXT),
 }
 WRONG_ANSWERS = ERRORS | WRONG_SUCCESSES
@@ -146,7 +150,7 @@
 # Guards against a turn that is kept with an error's text, or without its rest.
 @pytest.mark.parametrize(
     ("name", "answers"),
-    itertools.product(["500 signed length", "503 not run chunks"], [1, 100]),
+    itertools.product(["500 signed length", "503 not run chunks", "paragraph"], [1, 100]),
 )
 async def test_a_turn_is_kept_whole_or_not_at_all(deployment, name, answers):
     set_script(deployment.workers[:2], break_off_then(name, answers))
