--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -59,6 +59,7 @@
         "routes": [
             route("chat", "/chat/", "streaming", "models", attempts=1, retain=True, retention_s=60),
             route("plan", "/plan/", "streaming", "models", attempts=1, resumable=True),
+            route("tell", "/tell/", "streaming", "models", attempts=1),
             route("ping", "/ping/", "safe", "booking", attempts=3),
             route("book", "/book/", "unsafe", "booking", attempts=1),
         ],
