--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -67,6 +67,7 @@
         """Relay all events; returns the bytes after the last one, such as a line break."""
         # Text in place of the rest of a stream is an error's, as workers send none before events.
         splitter = EventSplitter(rejects_text=job.responder.started)
+        events_before = job.events
         last_event_at = self._clock.monotonic()
         while not isinstance(
             part := await self._read_stream_part(job, tracked, connection, last_event_at), BodyEnd
@@ -81,6 +82,9 @@
                 last_event_at = self._clock.monotonic()
         if splitter.has_partial_event:
             raise UpstreamLostError("the stream ended inside an event", crashed=True)
+        if not part.is_framed and job.events == events_before:
+            # A worker that was lost after its head looks the same.
+            raise UpstreamLostError("the connection ended before an event", crashed=True)
         return splitter.take_trailing()
 
     async def finish_stream(self, job: ForwardingJob, reply: WorkerReply, trailing: bytes) -> None:
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -57,7 +57,12 @@
 
 @frozen
 class BodyEnd:
-    """The end of a response that was received completely."""
+    """The end of a response that was received completely.
+
+    `is_framed` is False if only the end of the connection marked it.
+    """
+
+    is_framed: bool = True
 
 
 ResponseEvent = ResponseHead | BodyPart | BodyEnd
@@ -186,7 +191,7 @@
     def eof_received(self) -> bool | None:
         """Complete a response that ends with its connection; any other one has been truncated."""
         if self._in_body and self._ends_with_connection:
-            self._emit(BodyEnd())
+            self._emit(BodyEnd(is_framed=False))
             self._in_body = False
         self.reusable = False
         self._fail("the connection was closed")
--- a/tests/platform/test_resumed_errors.py
+++ b/tests/platform/test_resumed_errors.py
@@ -52,6 +52,7 @@
     "paragraph in chunks": (OK + OWN, "chunks", TEXT + b"\n\n"),
     "paragraph until close": (OK + OWN, "until close", TEXT + b"\n\n"),
     "paragraph, then an event": (OK + OWN, "length", TEXT + b"\n\n" + EVENT),
+    "nothing until close": (OK + OWN, "until close", b""),
     "head only": (OK + OWN, "head only", TEXT),
 }
 WRONG_ANSWERS = ERRORS | WRONG_SUCCESSES
@@ -150,7 +151,9 @@
 # Guards against a turn that is kept with an error's text, or without its rest.
 @pytest.mark.parametrize(
     ("name", "answers"),
-    itertools.product(["500 signed length", "503 not run chunks", "paragraph"], [1, 100]),
+    itertools.product(
+        ["500 signed length", "503 not run chunks", "paragraph", "nothing until close"], [1, 100]
+    ),
 )
 async def test_a_turn_is_kept_whole_or_not_at_all(deployment, name, answers):
     set_script(deployment.workers[:2], break_off_then(name, answers))
--- a/tests/platform/test_truncated_heads.py
+++ b/tests/platform/test_truncated_heads.py
@@ -104,3 +104,12 @@
     whole = b"".join(make_event(n) for n in range(1, 5)) if worker.engine else b"done r1"
     assert (answer.status, answer.body, answer.is_complete) == (200, whole, True)
     assert len(worker.arrivals) + len(entry.good.arrivals) == 2
+
+
+# Guards against an empty stream that looks whole, as its worker was lost after its unframed head.
+@pytest.mark.parametrize("path", ["/tell/1", "/plan/1"])
+async def test_a_stream_that_ends_with_its_connection_before_an_event_is_no_success(
+    caller, worker, path
+):
+    worker.script = truncate(HEAD + b"\r\n", "close", [])
+    assert (await caller.ask(path, request_id="r1")).status == 502
