--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -382,3 +382,6 @@
             return
         if reply.signature is None or reply.encoded or reply.request_id is None:
             raise UpstreamLostError("a success that is not the worker's own", crashed=False)
+        if job.responder.started and reply.media_type not in (None, job.media_type):
+            message = f"{reply.media_type} instead of the rest of a stream"
+            raise UpstreamLostError(message, crashed=False)
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -27,7 +27,8 @@
     `refused_by` lists the workers to skip until the next backoff is over.
     `tolerated_silence_start` is the time of the last event before a silence that has no limit,
     because no worker may continue the stream.
-    `stream` is set for streams that callers may resume.
+    `stream` is set for streams that callers may resume, and `media_type` once a stream has begun
+    whose worker named one.
     """
 
     request: CallerRequest
@@ -50,6 +51,7 @@
     tolerated_silence_start: float | None = None
     events: int = 0
     last_event_number: int | None = None
+    media_type: str | None = None
     output: bytearray = Factory(bytearray)
     worker: str = ""
     history: AttemptHistory = field(init=False)
--- a/egretford/entry/models.py
+++ b/egretford/entry/models.py
@@ -161,7 +161,8 @@
 
     `proves_not_run` is set only if the worker stated that it did not run the request.
     `request_id` is None if the response does not name the request that it belongs to. `leaving`
-    is set if the worker that sent the response serves only the requests that it has.
+    is set if the worker that sent the response serves only the requests that it has. `media_type`
+    is the type of the body, without parameters.
     """
 
     status: int
@@ -173,6 +174,7 @@
     idle_limit: float | None
     encoded: bool
     leaving: bool
+    media_type: str | None
     fields: tuple[tuple[bytes, bytes], ...]
 
     @property
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -147,4 +147,5 @@
 
     def _start_stream(self, job: ForwardingJob, reply: WorkerReply) -> None:
         if not job.responder.started:
+            job.media_type = reply.media_type
             job.responder.start_stream(reply.status, Headers(list(reply.fields)))
--- a/egretford/platform/wire.py
+++ b/egretford/platform/wire.py
@@ -140,6 +140,7 @@
         idle_limit=_read_idle_limit(headers),
         encoded=headers.get(b"Content-Encoding") is not None,
         leaving=headers.get_text(LEAVING) == _LEAVING_VALUE,
+        media_type=_read_media_type(headers),
         fields=tuple(strip_connection_fields(headers)),
     )
 
@@ -214,6 +215,11 @@
     return WorkerLoad(*numbers)
 
 
+def _read_media_type(headers: Headers) -> str | None:
+    text = headers.get_text(b"Content-Type")
+    return None if text is None else text.partition(";")[0].strip().lower()
+
+
 def _read_idle_limit(headers: Headers) -> float | None:
     found = _KEEP_ALIVE_TIMEOUT.search(headers.get(b"Keep-Alive") or b"")
     seconds = None if found is None else parse_whole_number(found.group(1))
--- a/tests/platform/test_resumed_errors.py
+++ b/tests/platform/test_resumed_errors.py
@@ -52,6 +52,7 @@
     "paragraph in chunks": (OK + OWN, "chunks", TEXT + b"\n\n"),
     "paragraph until close": (OK + OWN, "until close", TEXT + b"\n\n"),
     "paragraph, then an event": (OK + OWN, "length", TEXT + b"\n\n" + EVENT),
+    "other type": (OK + PLAIN, "length", b"data: " + TEXT + b"\n\n"),
     "nothing until close": (OK + OWN, "until close", b""),
     "head only": (OK + OWN, "head only", TEXT),
 }
@@ -112,6 +113,21 @@
     assert (answer.status, answer.body, answer.is_complete) == (200, BEGINNING, False)
 
 
+# Guards against a rest that is refused because its type is written in another way.
+async def test_a_rest_of_the_same_type_is_passed_on(caller, workers):
+    async def name_type(worker, arrival, responder):
+        is_rest = arrival.headers.get(b"Last-Event-Id") is not None
+        media_type = b"Text/Event-Stream" if is_rest else b"text/event-stream; charset=utf-8"
+        first = OK + OWN.replace(b"%s", arrival.request_id.encode())
+        first += b"Content-Type: " + media_type + b"\r\n"
+        text = WHOLE.removeprefix(BEGINNING) if is_rest else BEGINNING + b"id: 3"
+        return send_raw(responder, frame(first, "length", text), "close")
+
+    set_script(workers, name_type)
+    answer = await caller.ask("/plan/1", body=b"x", request_id="p1")
+    assert (answer.status, answer.body, answer.is_complete) == (200, WHOLE, True)
+
+
 # Guards against a second run of a stream that may not be resumed.
 async def test_a_stream_that_may_not_be_resumed_is_broken_off_at_once(caller, workers):
     set_script(workers, break_off_then("500 signed length", 100))
