--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -150,6 +150,7 @@
         stop_at = started_at + grace - EXIT_RESERVE_SECONDS
         self._draining = True
         self.gateway.set_stop_time(stop_at)
+        self.gateway.end_requests(stop_at + ANSWER_RESERVE_SECONDS / 2)
         self._caller_server.draining = True
         self._log.info("stopping: not ready any more", active=self._caller_server.active)
         await clock.sleep(min(READINESS_LAG_SECONDS, grace / 2))
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -66,6 +66,7 @@
         self._server: HttpServer | None = None
         self._detached: set[asyncio.Task[None]] = set()
         self._stop_at: float | None = None
+        self._limits: set[asyncio.Timeout] = set()
 
     @property
     def configuration_version(self) -> int | None:
@@ -83,6 +84,12 @@
         """
         self._stop_at = stop_at
 
+    def end_requests(self, end_at: float) -> None:
+        """Answer requests that still run at `end_at`, in monotonic seconds, with an error."""
+        now = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            limit.reschedule(now + end_at - self._clock.monotonic())
+
     def apply_configuration(self, table: RoutingTable) -> None:
         """Put a configuration in force, unless it is not newer than the current one."""
         current_version = self.configuration_version
@@ -159,18 +166,10 @@
             deadline=started + limit,
             on_crash=lambda worker: self._crashes.add(Crash(fingerprint, worker)),
         )
-        if route.kind is RouteKind.STREAMING and route.resumable:
-            with self._set_retry_after(job.upstream):
-                job.stream = await self._origins.open(request, route, job.upstream)
-            job.upstream = job.stream.upstream
-        with self._set_retry_after(KEEPERS_CAUSE):
-            admission = await self._admit(job)
         try:
-            with self._set_retry_after(job.upstream):
-                await self._forwarder.run(job)
-        finally:
-            if admission is not None:
-                admission.settle(job.events)
+            await self._forward(job)
+        except TimeoutError:
+            raise job.refuse(ErrorKind.TIMEOUT, "this instance stops") from None
         self._crashes.record_success(fingerprint)
         seconds = self._clock.monotonic() - started
         self._metrics.record_seconds("request", request.host, route.name, seconds)
@@ -186,6 +185,29 @@
             config=self.configuration_version,
         )
 
+    async def _forward(self, job: ForwardingJob) -> None:
+        """Forward a request; raises TimeoutError if `end_requests` ends it, and RequestError."""
+        async with asyncio.timeout(None) as limit:
+            self._limits.add(limit)
+            try:
+                await self._run(job)
+            finally:
+                self._limits.discard(limit)
+
+    async def _run(self, job: ForwardingJob) -> None:
+        if job.route.kind is RouteKind.STREAMING and job.route.resumable:
+            with self._set_retry_after(job.upstream):
+                job.stream = await self._origins.open(job.request, job.route, job.upstream)
+            job.upstream = job.stream.upstream
+        with self._set_retry_after(KEEPERS_CAUSE):
+            admission = await self._admit(job)
+        try:
+            with self._set_retry_after(job.upstream):
+                await self._forwarder.run(job)
+        finally:
+            if admission is not None:
+                admission.settle(job.events)
+
     @contextmanager
     def _set_retry_after(self, cause: str) -> Iterator[None]:
         """Set the retry delay of transient errors; it grows for as long as the cause lasts."""
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -110,3 +110,13 @@
     await stop(deployment)
     await asyncio.gather(*senders)
     assert set(outcomes) <= {200, 503} and outcomes.count(200) > 50
+
+
+# Guards against requests that were taken before the stop and are cut off with no answer at its end.
+@pytest.mark.parametrize("path", ["/book/1", "/ping/1", "/plan/1", "/chat/1"])
+async def test_a_request_that_outlasts_the_grace_period_gets_an_answer(deployment, path):
+    make_slow(deployment, 10)
+    asking = asyncio.create_task(ask(deployment, path, request_id="long"))
+    await deployment.wait_until(lambda: deployment.arrivals("long"))
+    await stop(deployment)
+    assert (await asking).status in (502, 504)
