--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -143,7 +143,8 @@
     async def drain(self) -> None:
         """Withdraw readiness, then serve until no connection is left or the grace period ends.
 
-        Requests that could still be running at its end are refused, so that none is cut off.
+        Requests that could still be running at its end are refused, so that none is cut off. The
+        listener is closed last, while connections are still served.
         """
         clock, grace = self._clock, self._settings.bounds.stop_grace
         started_at = clock.monotonic()
@@ -159,8 +160,12 @@
                 break
             self._caller_server.close_idle()
             if not self._caller_server.connections:
-                break
+                # Connections that were being accepted appear by the next check.
+                if not self._caller_server.is_listening:
+                    break
+                self._caller_server.stop_listening()
             await clock.sleep(DRAIN_POLL_SECONDS)
+        self._caller_server.stop_listening()
         self._log.info(
             "stopped",
             after_s=round(clock.monotonic() - started_at, 2),
--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -129,6 +129,16 @@
             lambda: _ServerConnection(self), host, int(port), backlog=BACKLOG, reuse_address=True
         )
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._server is not None and self._server.is_serving()
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open go on."""
+        if self._server is not None:
+            self._server.close()
+
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
         for connection in list(self.connections):
@@ -137,8 +147,7 @@
 
     async def close(self) -> None:
         """Stop listening and abort all connections."""
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for connection in list(self.connections):
             connection.abort()
 
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import asynccontextmanager
 
 import pytest
 from attrs import evolve
 
 from egretford.http.client import ClientConnection
+from egretford.http.messages import encode_head
 from egretford.instance import DeploymentBounds
 from tests.platform.deployment import run_deployment
 
@@ -112,6 +114,27 @@
     assert set(outcomes) <= {200, 503} and outcomes.count(200) > 50
 
 
+def make_request(path: str, request_id: str, deadline_ms: int = 500, body: bytes = b"") -> bytes:
+    fields = [
+        (b"Host", b"farm.example"),
+        (b"Request-Id", request_id.encode()),
+        (b"Deadline-Ms", b"%d" % deadline_ms),
+        (b"Content-Length", b"%d" % len(body)),
+    ]
+    return encode_head(b"POST %s HTTP/1.1" % path.encode(), fields) + body
+
+
+@asynccontextmanager
+async def connect(deployment):
+    """Connect to the first entry; yields functions that send bytes and read all that follow."""
+    host, _, port = deployment.callers[0].address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield writer.write, lambda: asyncio.wait_for(reader.read(), 2 * GRACE_SECONDS)
+    finally:
+        writer.close()
+
+
 # Guards against requests that were taken before the stop and are cut off with no answer at its end.
 @pytest.mark.parametrize("path", ["/book/1", "/ping/1", "/plan/1", "/chat/1"])
 async def test_a_request_that_outlasts_the_grace_period_gets_an_answer(deployment, path):
@@ -120,3 +143,46 @@
     await deployment.wait_until(lambda: deployment.arrivals("long"))
     await stop(deployment)
     assert (await asking).status in (502, 504)
+
+
+# Guards against a request that a closing entry takes and cuts off, as its listener is still open.
+async def test_an_entry_that_closes_takes_no_request(deployment):
+    await deployment.entries[0].drain()
+    with pytest.raises(ConnectionError):
+        async with connect(deployment):
+            pass
+
+
+# Guards against requests that are taken with the last time left and then cut off, and against calls
+# that ran and are refused: callers go on until the listener is gone.
+@pytest.mark.parametrize("path", ["/book/1", "/ping/1", "/tell/1", "/plan/1", "/chat/1"])
+async def test_every_request_is_answered_until_the_listener_is_gone(deployment, path):
+    make_slow(deployment, 0.2)
+    deadlines = [250, 450, 700, 1_000, 3_000]
+    statuses = []
+
+    async def send_requests(number: int) -> None:
+        for count in range(1_000):
+            request_id = f"e{number}-{count}"
+            received = b""
+            try:
+                async with connect(deployment) as (send, read):
+                    send(make_request(path, request_id, deadlines[number % len(deadlines)]))
+                    received = await read()
+            except ConnectionRefusedError:
+                return
+            except ConnectionError:
+                pass
+            sent = deployment.arrivals(request_id)
+            # A request that crosses the close was not passed on; a stream may run out of time.
+            assert received or not sent
+            assert not (sent and received[9:12] == b"503")
+            statuses.append(received[9:12])
+            await asyncio.sleep(0.02)
+
+    senders = [asyncio.create_task(send_requests(number)) for number in range(10)]
+    await asyncio.sleep(0.2)
+    await stop(deployment)
+    await asyncio.gather(*senders)
+    assert set(statuses) <= {b"200", b"503", b"504", b"502", b""}
+    assert statuses.count(b"200") >= 3
