--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -172,8 +172,11 @@
 
     @property
     def closing(self) -> bool:
-        """Whether responses must ask the caller not to reuse the connection."""
-        return self._server.draining
+        """Whether responses must ask the caller not to reuse the connection.
+
+        Not while further requests were read from it, as only the last response may say so.
+        """
+        return self._server.draining and not self._requests
 
     @property
     def is_busy(self) -> bool:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -135,6 +135,22 @@
         writer.close()
 
 
+# Guards against requests that are read whole behind another one and then closed without an answer.
+@pytest.mark.parametrize("path", ["/book/1", "/ping/1", "/chat/1"])
+async def test_requests_sent_ahead_are_all_answered(deployment, path):
+    make_slow(deployment, 0.2)
+    stopping = asyncio.create_task(stop(deployment))
+    await asyncio.sleep(0.1)
+    ids = ["a1", "a2", "a3"]
+    async with connect(deployment) as (send, read):
+        send(b"".join(make_request(path, request_id, 1_500) for request_id in ids))
+        received = await read()
+    assert received.count(b"HTTP/1.1 200 OK") == len(ids)
+    assert received.count(b"Connection: close") == 1
+    assert [len(deployment.arrivals(request_id)) for request_id in ids] == [1, 1, 1]
+    await stopping
+
+
 # Guards against requests that were taken before the stop and are cut off with no answer at its end.
 @pytest.mark.parametrize("path", ["/book/1", "/ping/1", "/plan/1", "/chat/1"])
 async def test_a_request_that_outlasts_the_grace_period_gets_an_answer(deployment, path):
