--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -144,7 +144,7 @@
         """Withdraw readiness, then serve until no connection is left or the grace period ends.
 
         Requests that could still be running at its end are refused, so that none is cut off. The
-        listener is closed last, while connections are still served.
+        listener is closed while connections are still served and sent the rest of their answers.
         """
         clock, grace = self._clock, self._settings.bounds.stop_grace
         started_at = clock.monotonic()
@@ -155,13 +155,11 @@
         self._caller_server.draining = True
         self._log.info("stopping: not ready any more", active=self._caller_server.active)
         await clock.sleep(min(READINESS_LAG_SECONDS, grace / 2))
-        while clock.monotonic() < stop_at or self._caller_server.active:
-            if clock.monotonic() >= stop_at + ANSWER_RESERVE_SECONDS:
-                break
+        while clock.monotonic() < stop_at + ANSWER_RESERVE_SECONDS:
             self._caller_server.close_idle()
-            if not self._caller_server.connections:
+            if not self._caller_server.connections or clock.monotonic() >= stop_at:
                 # Connections that were being accepted appear by the next check.
-                if not self._caller_server.is_listening:
+                if not self._caller_server.connections and not self._caller_server.is_listening:
                     break
                 self._caller_server.stop_listening()
             await clock.sleep(DRAIN_POLL_SECONDS)
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -8,6 +8,7 @@
 import pytest
 from attrs import evolve
 
+from egretford.entry import daemon
 from egretford.http.client import ClientConnection
 from egretford.http.messages import encode_head
 from egretford.instance import DeploymentBounds
@@ -169,6 +170,27 @@
             pass
 
 
+# Guards against a large answer that is cut off while its caller reads it at the end of the grace.
+async def test_an_answer_that_is_being_sent_is_not_cut_off(deployment, monkeypatch):
+    body = b"x" * 8_000_000
+
+    async def send_large(worker, arrival, responder):
+        responder.send_response(200, worker.sign(arrival.request_id), body)
+        return True
+
+    for worker in deployment.workers[2:]:
+        worker.script = send_large
+    monkeypatch.setattr(daemon, "ANSWER_RESERVE_SECONDS", 0.6)
+    stopping = asyncio.create_task(stop(deployment))
+    await asyncio.sleep(1.3)
+    async with connect(deployment) as (send, read):
+        send(make_request("/book/1", "large", 800))
+        # The answer waits in buffers by now; the caller reads on when only the reserve is left.
+        await asyncio.sleep(GRACE_SECONDS - daemon.EXIT_RESERVE_SECONDS + 0.05 - 1.3)
+        assert len(await read()) > len(body)
+    await stopping
+
+
 # Guards against requests that are taken with the last time left and then cut off, and against calls
 # that ran and are refused: callers go on until the listener is gone.
 @pytest.mark.parametrize("path", ["/book/1", "/ping/1", "/tell/1", "/plan/1", "/chat/1"])
