--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -224,3 +224,29 @@
     await asyncio.gather(*senders)
     assert set(statuses) <= {b"200", b"503", b"504", b"502", b""}
     assert statuses.count(b"200") >= 3
+
+
+# Guards against a request that is cut off because its body was late: it is refused or answered.
+@pytest.mark.parametrize(("rest_after", "status"), [(0.5, b"200"), (2.1, b"503")])
+async def test_a_request_whose_body_is_being_read_is_answered(deployment, rest_after, status):
+    async with connect(deployment) as (send, read):
+        data = make_request("/book/1", "slow", 500, b"x" * 100)
+        send(data[:-50])
+        stopping = asyncio.create_task(stop(deployment))
+        await asyncio.sleep(rest_after)
+        send(data[-50:])
+        assert (await read())[9:12] == status
+    assert len(deployment.arrivals("slow")) == (status == b"200")
+    await stopping
+
+
+# Guards against a turn that looks whole without being kept, as the keepers were slow at the end.
+async def test_a_turn_that_is_kept_too_late_is_visibly_broken_off(deployment):
+    deployment.entries[0]._turns.keep = lambda turn: asyncio.sleep(10)
+    stopping = asyncio.create_task(stop(deployment))
+    await asyncio.sleep(1.4)
+    async with connect(deployment) as (send, read):
+        send(make_request("/chat/1", "t1", 800))
+        received = await read()
+    assert received.startswith(b"HTTP/1.1 5") or not received.endswith(b"0\r\n\r\n")
+    await stopping
