--- a/tests/platform/test_truncated_heads.py
+++ b/tests/platform/test_truncated_heads.py
@@ -4,8 +4,12 @@
 
 import pytest
 
+from egretford.clock import SystemClock
+from egretford.errors import StoreUnavailableError
+from egretford.platform.store import MetadataStore
 from tests.entry.test_forwarding import entry, list_worker  # noqa: F401
-from tests.platform.standins import WorkerStandin, make_event, send_raw
+from tests.http.test_client import serve_response
+from tests.platform.standins import NullLog, WorkerStandin, make_event, send_raw
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig.w\r\n"
 BODY = make_event(1)
@@ -113,3 +117,33 @@
 ):
     worker.script = truncate(HEAD + b"\r\n", "close", [])
     assert (await caller.ask(path, request_id="r1")).status == 502
+
+
+STORE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+STORE_BODY = b'{"items": [], "store_revision": 7}'
+STORE_RESPONSE = STORE_HEAD + b"Content-Length: %d\r\n\r\n" % len(STORE_BODY) + STORE_BODY
+
+
+# Guards against an empty or older listing that is taken from a response that the store cut off.
+@pytest.mark.parametrize("reset", [False, True], ids=["close", "reset"])
+@pytest.mark.parametrize("length", range(0, len(STORE_RESPONSE), 5))
+async def test_a_truncated_response_of_the_store_is_none(length, reset):
+    server = await serve_response(STORE_RESPONSE[:length], reset=reset)
+    port = server.sockets[0].getsockname()[1]
+    store = MetadataStore(f"127.0.0.1:{port}", SystemClock(), NullLog())
+    with pytest.raises(StoreUnavailableError):
+        await store.list_all("servers")
+    await store.close()
+    server.close()
+
+
+# Guards against a missing or changed object that the store never said: only whole heads count.
+@pytest.mark.parametrize("status", [b"404 Not Found", b"409 Conflict", b"410 Gone"])
+async def test_a_truncated_failure_of_the_store_says_nothing(status):
+    server = await serve_response(b"HTTP/1.1 " + status + b"\r\nContent-Length: 2\r\n")
+    port = server.sockets[0].getsockname()[1]
+    store = MetadataStore(f"127.0.0.1:{port}", SystemClock(), NullLog())
+    with pytest.raises(StoreUnavailableError):
+        await store.get("config", "main")
+    await store.close()
+    server.close()
