--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -254,7 +254,8 @@
         elif lengths and int(lengths[0]) > self._server.limits.body_bytes:
             self._refuse(413, f"the body exceeds {self._server.limits.body_bytes} bytes")
         elif b"100-continue" in headers.list_tokens(b"expect"):
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._expects_continue = True
+            self._answer_expectation()
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body; refuses a body over the limit."""
@@ -293,9 +294,17 @@
         if self._requests and not self.closed:
             request = self._requests.popleft()
             self._task = asyncio.get_running_loop().create_task(self._serve(request))
-        elif not self._reading and not self.closed:
+        elif self._reading:
+            self._answer_expectation()
+        elif not self.closed:
             self._set_timer(self._server.limits.idle_timeout, self._handle_idle_timeout)
 
+    def _answer_expectation(self) -> None:
+        """Let the caller send the body, once the responses to earlier requests have ended."""
+        if self._expects_continue and self._task is None and not self._requests:
+            self._expects_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     async def _serve(self, request: HttpRequest) -> None:
         responder = Responder(self, request.keep_alive)
         try:
@@ -354,6 +363,7 @@
         self._body_size = 0
         self._head_bytes = 0
         self._head_done = False
+        self._expects_continue = False
         self._reading = False
 
     def _begin_reading(self) -> None:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -135,3 +135,24 @@
 
     server.handle = handle
     assert parse_status(await exchange(server, REQUEST)) == 500
+
+
+# Guards against "100 Continue" within the response to an earlier request on the same connection.
+async def test_an_expectation_is_met_after_the_response_before_it(server):
+    async def stream_slowly(http, responder):
+        responder.start_stream(200, Headers())
+        for _ in range(3):
+            await responder.write(b"part")
+            await asyncio.sleep(0.03)
+        responder.finish_stream()
+
+    server.handle = stream_slowly
+    expecting = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(REQUEST + expecting)
+    async with asyncio.timeout(1):
+        first = await reader.readuntil(b"0\r\n\r\n")
+        rest = await reader.readline()
+    writer.close()
+    assert first.count(b"part") == 3 and b"100 Continue" not in first
+    assert rest == b"HTTP/1.1 100 Continue\r\n"
