--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -163,24 +163,29 @@
     async def drain(self) -> None:
         """Withdraw readiness, then serve until no connection is left or the grace period ends.
 
-        Requests that could still be running at its end are refused, so that none is cut off.
+        Requests that could still be running at its end are refused, so that none is cut off. The
+        listener is closed while connections are still served and sent the rest of their answers.
         """
         clock, grace = self._clock, self._settings.bounds.stop_grace
         started_at = clock.monotonic()
         stop_at = started_at + grace - EXIT_RESERVE_SECONDS
         self._draining = True
         self.gateway.set_stop_time(stop_at)
+        self.gateway.end_requests(stop_at + ANSWER_RESERVE_SECONDS / 2)
         self._caller_server.draining = True
         self._tunnels.draining = True
         self._log.info("stopping: not ready any more", active=self._caller_server.active)
         await clock.sleep(min(READINESS_LAG_SECONDS, grace / 2))
-        while clock.monotonic() < stop_at or self._caller_server.active:
-            if clock.monotonic() >= stop_at + ANSWER_RESERVE_SECONDS:
-                break
+        while clock.monotonic() < stop_at + ANSWER_RESERVE_SECONDS:
             self._caller_server.close_idle()
-            if not self._caller_server.connections and not self._tunnels.active:
-                break
+            if not self._caller_server.connections or clock.monotonic() >= stop_at:
+                # Connections that were being accepted appear by the next check.
+                is_idle = not self._caller_server.connections and not self._tunnels.active
+                if is_idle and not self._caller_server.is_listening:
+                    break
+                self._caller_server.stop_listening()
             await clock.sleep(DRAIN_POLL_SECONDS)
+        self._caller_server.stop_listening()
         self._log.info(
             "stopped",
             after_s=round(clock.monotonic() - started_at, 2),
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -72,7 +72,12 @@
 
 @frozen
 class BodyEnd:
-    """The end of a response that was received completely."""
+    """The end of a response that was received completely.
+
+    `is_framed` is False if only the end of the connection marked it.
+    """
+
+    is_framed: bool = True
 
 
 ResponseEvent = ResponseHead | BodyPart | BodyEnd
@@ -252,7 +257,7 @@
         The end of a tunnel does not show whether the server ended the response or the tunnel broke.
         """
         if self._in_body and self._ends_with_connection and not self.tunnelled:
-            self._emit(BodyEnd())
+            self._emit(BodyEnd(is_framed=False))
             self._in_body = False
         self.reusable = False
         self._fail("the connection was closed")
