--- a/egretford/entry/copies.py
+++ b/egretford/entry/copies.py
@@ -56,8 +56,11 @@
     _refusals: dict[str, _Refusal] = Factory(dict)
     _logged_reasons: set[tuple[str, str]] = Factory(set)
 
-    async def write(self) -> None:
-        """Return once enough keepers hold the turn; has no timeout, so callers must set one."""
+    async def write(self) -> list[str]:
+        """Return the names of its keepers once enough of them hold the turn.
+
+        It has no timeout, so callers must set one.
+        """
         started = self._clock.monotonic()
         try:
             while len(self.holders) < self._keepers.copies:
@@ -68,6 +71,7 @@
             raise
         if self._logged_reasons:
             self._log_outcome("stored a turn after refusals or slow replies", started)
+        return self.holders
 
     def _log_outcome(self, event: str, started: float) -> None:
         self._log.info(
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -182,6 +182,7 @@
             events=job.events,
             offers=job.offers,
             ms=round(seconds * 1_000, 1),
+            kept_by=job.kept_by,
             config=self.configuration_version,
         )
 
@@ -242,9 +243,14 @@
             raise job.refuse(ErrorKind.TIMEOUT, message) from None
         if route.keeps_turns:
             job.body = admission.history + request.http.body
-            job.before_end = lambda: admission.keep(bytes(job.output), job.events)
+            job.before_end = lambda: self._keep(job, admission)
         return admission
 
+    async def _keep(self, job: ForwardingJob, admission: TurnAdmission) -> None:
+        """Store the turn; its keepers are logged, for the day on which it cannot be found."""
+        await admission.keep(bytes(job.output), job.events)
+        job.kept_by = admission.kept_by
+
     def _send_error(
         self,
         request: CallerRequest | None,
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -27,6 +27,7 @@
     `refused_by` lists the workers to skip until the next backoff is over.
     `tolerated_silence_start` is the time of the last event before a silence that has no limit,
     because no worker may continue the stream.
+    `kept_by` names the keepers that hold the turn, once it is kept.
     `stream` is set for streams that callers may resume, and `media_type` once a stream has begun
     whose worker named one.
     """
@@ -54,6 +55,7 @@
     media_type: str | None = None
     output: bytearray = Factory(bytearray)
     worker: str = ""
+    kept_by: list[str] = Factory(list)
     history: AttemptHistory = field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from attrs import define, evolve, frozen
+from attrs import Factory, define, evolve, frozen
 
 from egretford.clock import Clock
 from egretford.entry.copies import TurnCopies
@@ -44,7 +44,8 @@
     """A turn that may run, with its history and its reserved charge.
 
     `charge` is None for a turn without a token budget; `history` is the text of all former
-    turns, and `event_tokens` the tokens that one event is charged with.
+    turns, and `event_tokens` the tokens that one event is charged with. `kept_by` names the keepers
+    that hold the turn once it is kept.
     """
 
     turns: Turns
@@ -54,6 +55,7 @@
     event_tokens: int
     history: bytes = b""
     settled: bool = False
+    kept_by: list[str] = Factory(list)
 
     async def keep(self, answer_text: bytes, events: int) -> None:
         """Return once enough keepers hold the turn; has no timeout, so callers must set one.
@@ -71,7 +73,7 @@
             retention=self.route.retention,
             copies=(),
         )
-        await self.turns.keep(turn)
+        self.kept_by = await self.turns.keep(turn)
 
     def settle(self, events: int) -> None:
         """Settle the charge in the background by the number of events; later calls do nothing."""
@@ -298,9 +300,12 @@
             return RequestError(ErrorKind.UNKNOWN_CALL, "no such turn")
         return RequestError(ErrorKind.STORE_UNAVAILABLE, "the turn cannot be read now")
 
-    async def keep(self, turn: Turn) -> None:
-        """Return once enough keepers, nearby ones first, hold the turn; has no timeout."""
-        await TurnCopies(turn, self._keepers, self._clock, self._log).write()
+    async def keep(self, turn: Turn) -> list[str]:
+        """Return the names of the turn's keepers, nearby ones first, once enough hold it.
+
+        It has no timeout, so callers must set one.
+        """
+        return await TurnCopies(turn, self._keepers, self._clock, self._log).write()
 
     def settle_in_background(self, charge: Charge) -> None:
         """Settle a charge in the background; until then it counts at its maximum."""
--- a/tests/entry/test_copies.py
+++ b/tests/entry/test_copies.py
@@ -171,3 +171,10 @@
     done, _ = await asyncio.wait({writing}, timeout=0.6)
     writing.cancel()
     assert not done, f"reported as stored by {copies.holders} although b's disk is gone"
+
+
+# Guards against a lost turn of which no log tells who should have had it.
+async def test_the_keepers_of_a_turn_are_told(make_client):
+    client, _ = make_client(a=(NOT_READY, 0.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
+    turns = Turns(client, SystemClock(), NullLog())
+    assert await turns.keep(TURN) == ["b", "c"]
