The test of joining beside turns compares with joining without them

Its limit of 1.4 s was chosen after the figures (1.63 s before the change, 1.15 s after), which bounds may not be. It now asserts what the change promises: turns on the link do not delay the charges. Red without the condition in _fetch_batch (1.63 s against 1.10 s), green with it (1.15 s). Stricter by the margin: 1.21 s.

--- a/tests/keeper/test_successive_losses.py
+++ b/tests/keeper/test_successive_losses.py
@@ -20,9 +20,8 @@
 TURNS_PER_PAIR = int(1.5 * CATCH_UP_SECONDS * LINK_BYTES_PER_SECOND / TURN_BYTES)
 # Of these, one in so many is read from each entry; reading all would itself fill the link.
 READ_SHARE = 25
-# Charges of a burst, and the time in which a keeper copies them when nothing else is on the link.
+# Charges of a burst.
 CHARGES = 15_000
-JOIN_SECONDS = 1.4
 
 
 async def store_turns(world: World, load: TurnLoad, holders: tuple[str, ...]) -> None:
@@ -94,17 +93,26 @@
     run_case(scenario)
 
 
-# Guards against a keeper that joins too late: the many pages with charges, without which it does
-# not count, wait on the link behind the texts of turns.
-def test_charges_do_not_wait_for_turns_on_the_link():
+def measure_joining(with_turns: bool) -> float:
+    """Return the seconds until an emptied keeper, which has many charges to copy, is active."""
+    durations = []
+
     async def scenario(world, load):
         emptied, other = (world.network.machines[name] for name in ("k1", "k2"))
-        await store_turns(world, load, ("k1", "k2"))
+        if with_turns:
+            await store_turns(world, load, ("k1", "k2"))
         charges = [Charge(f"c{number}", "t", 5, settled=True) for number in range(CHARGES)]
         await other.process.records.write(charges)
         await lose_disk(world, emptied)
         started = world.now
         await wait_until(lambda: find_state(world, emptied) is MemberState.ACTIVE)
-        assert world.now - started < JOIN_SECONDS
+        durations.append(world.now - started)
 
     run_case(scenario, keepers=3)
+    return durations[0]
+
+
+# Guards against a keeper that joins too late: the many pages with charges, without which it does
+# not count, wait on the link behind the texts of turns. Only jitter of the network may differ.
+def test_charges_do_not_wait_for_turns_on_the_link():
+    assert measure_joining(with_turns=True) < 1.1 * measure_joining(with_turns=False)
