A turn keeps its chain at every keeper that stores it

Callers would see 503 for a kept turn: reading a chain renewed its turns only at the keeper that was asked. Another holder let the older ones expire 80 s after they were stored, though the newest turn keeps its chain for a minute more; once the first keeper was lost, the chain could not be read.

A keeper that stores a turn now renews the chain that it holds. The test was red before (t1 expired at 100 s, its successor stored at 50 s was there).

--- a/egretford/keeper/records.py
+++ b/egretford/keeper/records.py
@@ -130,6 +130,9 @@
                 expires_at = now + record.retention + RETENTION_MARGIN_SECONDS
                 self._turns[record.id] = _StoredTurn(record, segment, expires_at)
                 self._assign_position(("turn", record.id))
+                # Other keepers may have been asked for the chain, so only they have renewed it.
+                chain, _ = self.read_chain(record.id)
+                self.renew_chain(chain)
             case Charge():
                 held = self._ledgers.setdefault(record.program, _StoredLedger(Ledger(), 0.0))
                 retention = (
--- a/tests/keeper/test_records.py
+++ b/tests/keeper/test_records.py
@@ -138,3 +138,17 @@
     )
     assert page.charges == {"q": [Charge("q", "t1", 5)]}
     assert (page.turns, page.position, page.more) == (["t2"], 4, False)
+
+
+# Guards against a kept turn that cannot be continued: an earlier turn of its chain expires at the
+# keepers that were not asked for the chain when the turn ran.
+async def test_a_chain_is_kept_as_long_as_its_newest_turn(tmp_path):
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    await records.write([make_turn(1)])
+    clock.time = 50.0
+    await records.write([make_turn(2, "t1")])
+    clock.time = 100.0
+    await records.expire()
+    chain, missing = records.read_chain("t2")
+    assert [turn.id for turn in chain] == ["t1", "t2"] and missing is None
