--- a/egretford/http/tunnel.py
+++ b/egretford/http/tunnel.py
@@ -14,6 +14,7 @@
 import httptools
 
 from egretford.controllers.loops import TaskGroup
+from egretford.errors import EgretfordError
 from egretford.http.client import TARGET_UNREACHABLE_STATUS, set_keep_alive, set_socket_options
 from egretford.http.messages import encode_head, encode_status_line
 
@@ -28,7 +29,7 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class TunnelRefusedError(Exception):
+class TunnelRefusedError(EgretfordError):
     """A tunnel is refused with an HTTP status."""
 
     def __init__(self, status: int, reason: str) -> None:
--- a/tests/keeper/test_successive_losses.py
+++ b/tests/keeper/test_successive_losses.py
@@ -57,8 +57,11 @@
 
 # Guards against lost turns and an end of all service: the second disk is lost right after the time
 # for catching up, while the turns of the first are still on their way between regions.
-@pytest.mark.parametrize(("first", "second"), [("k1", "k3"), ("k2", "k1")])
-def test_two_disks_lost_one_after_the_other_lose_no_turn(first, second):
+@pytest.mark.parametrize(
+    ("first", "second", "size"),
+    [("k1", "k3", 3), ("k2", "k1", 3), ("k2", "k1", 4), ("k1", "k2", 3), ("k3", "k2", 3)],
+)
+def test_two_disks_lost_one_after_the_other_lose_no_turn(first, second, size):
     async def scenario(world, load):
         for holders in [("k1", "k3"), ("k1", "k2"), ("k2", "k3")]:
             await store_turns(world, load, holders)
@@ -69,7 +72,7 @@
         assert [turn_id for turn_id in load.kept if not world.list_copies(turn_id)] == []
         await load.check_readable()
 
-    assert run_case(scenario, keepers=3).failures == []
+    assert run_case(scenario, keepers=size).failures == []
 
 
 # Guards against lost turns: a keeper that counts, but has yet to copy the turns of another, leaves
