--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import time
 from pathlib import Path
@@ -13,10 +14,11 @@
     CONTACT_SECONDS,
     Deployment,
     run_case,
-    with_trouble,
 )
 from tests.platform.standins import WorkerStandin
 
+# With TROUBLE=0 in the environment, all is done without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"cascadia-a": "cascadia", "cascadia-b": "cascadia", "inland-a": "inland"}
 KEEPERS = {"storage-1": "cascadia-a", "storage-2": "cascadia-b", "storage-3": "inland-a"}
 ENTRIES = {"edge-1": "cascadia-a", "edge-2": "cascadia-b"}
@@ -105,10 +107,10 @@
     program = Program(deployment)
     await program.run(1.0)
     for name in RESTARTED:
-        if with_trouble():
+        if TROUBLE:
             await stop(deployment, name)
         await program.run(DOWN_SECONDS)
-        if with_trouble():
+        if TROUBLE:
             deployment.restart(name)
         await program.run(CATCH_UP_SECONDS)
     # Nothing is disturbed from here on.
--- a/review/2/lost_disk.py
+++ b/review/2/lost_disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
@@ -12,10 +13,11 @@
     CONTACT_SECONDS,
     Deployment,
     run_case,
-    with_trouble,
 )
 from tests.platform.standins import WorkerStandin
 
+# With TROUBLE=0 in the environment, all is done without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"cascadia-a": "cascadia", "cascadia-b": "cascadia", "inland-a": "inland"}
 KEEPERS = {"storage-1": "cascadia-a", "storage-2": "cascadia-b", "storage-3": "inland-a"}
 ENTRIES = {"edge-1": "cascadia-a", "edge-2": "cascadia-b"}
@@ -80,7 +82,7 @@
     program = Program(deployment)
     names = list(ENTRIES)
     # The program begins while a keeper of its region is down.
-    if with_trouble():
+    if TROUBLE:
         deployment.kill("storage-2")
     down_at = time.monotonic()
     while program.last is None:
@@ -89,7 +91,7 @@
             break
     began_at = time.monotonic()
     await asyncio.sleep(max(0.0, down_at + DOWN_SECONDS - began_at))
-    if with_trouble():
+    if TROUBLE:
         deployment.restart("storage-2")
     await asyncio.sleep(CATCH_UP_SECONDS)
     # It goes on, turn by turn, for longer than a turn without successors is kept.
@@ -98,7 +100,7 @@
         number += 1
         await program.send_turn(names[number % len(names)])
         await asyncio.sleep(TURN_SECONDS)
-    if with_trouble():
+    if TROUBLE:
         deployment.lose_disk("storage-1")
         await asyncio.sleep(1.0)
         deployment.restart("storage-1")
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -365,8 +365,3 @@
     finally:
         record.close()
     sys.exit(status)
-
-
-def with_trouble() -> bool:
-    """Whether the disruption is to be made."""
-    return os.environ.get("TROUBLE", "1") != "0"
