Long programs keep all their turns while keepers restart

What callers saw: a program that lasts longer than a turn is kept got 503 for each next turn, for good, after planned restarts of keepers in turn, or after one outage and one lost disk.

Cause: the life of a turn is that of the newest turn after it, but a keeper renewed only what it held down to its first gap, and told nobody. A turn between two gaps, from when keepers were down, was renewed by none; one of whose two keepers only one renewed it lost its other copy, and nothing restored that.

Fix: a keeper that stores or reads a turn renews the part of its chain that it holds and lists what it renewed; the others ask for that every 2 s. The turn at which a chain breaks off is listed to all, so that its holders go on from there. A renewed turn that a keeper must hold and lacks is fetched. The chain takes the retention of its newest turn.

Why it works: each turn of a chain is renewed at one keeper at least, and that keeper's list reaches all that must hold it; the lag of a list is far below the 20 s that turns are kept beyond their retention.

Compatible: turns on disk, and all earlier messages, are as before. A keeper of the version before answers the new request with an error, and is asked again after 10 s.

--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -310,6 +310,13 @@
 
     # Fetching turns
 
+    def fetch_turns(self, disk: str, turn_ids: Iterable[str]) -> None:
+        """Fetch turns that this keeper must hold from the member with `disk`, which has them."""
+        source = self.sources.get(disk)
+        if source is not None:
+            source.missing_turns.update(dict.fromkeys(turn_ids))
+            source.listed.set()
+
     async def _fetch_from(self, source: Source) -> None:
         while self._is_current(source):
             try:
@@ -339,7 +346,7 @@
                 # The list of records is requested again, under a newer view if there is one.
                 self.wake()
                 return False
-            await self._records.write(list(reply.turns))
+            await self._records.write(list(reply.turns), is_copy=True)
         finally:
             self._fetches.release(batch)
         # Without a turn in the reply, those requested have expired at the source.
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -17,6 +17,7 @@
 from egretford.keeper.messages import KeeperReply, KeeperRequest, WatchObjects
 from egretford.keeper.object_relay import ObjectRelay
 from egretford.keeper.records import Records
+from egretford.keeper.renewals import RenewalFeed
 from egretford.keeper.service import KeeperService
 from egretford.logs import make_logger
 from egretford.metrics import Metrics
@@ -82,6 +83,16 @@
             self._make_logger("copying"),
         )
         self._service.on_view_adopted = self._copier.handle_new_view
+        self._renewals = RenewalFeed(
+            settings.name,
+            disk,
+            self._service,
+            self._records,
+            self._copier,
+            self._peers,
+            clock,
+            self._make_logger("renewals"),
+        )
         self._store = MetadataStore(settings.store_address, clock, self._make_logger("store"))
         health = StoreHealth(clock, self._make_logger("store"))
         evacuations = StoredEvacuations(self._store, self._make_logger("evacuation"))
@@ -138,6 +149,7 @@
         await self._feed.start()
         await self._relay.start()
         await self._copier.start()
+        await self._renewals.start()
         await self._membership.start()
         self._tasks.spawn(
             run_every(self._clock, MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance, self._log)
@@ -167,6 +179,7 @@
     async def close(self) -> None:
         """Stop all components; the log on disk is closed last."""
         await self._membership.close()
+        await self._renewals.close()
         await self._copier.close()
         await self._feed.close()
         await self._relay.close()
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -168,6 +168,37 @@
     disk: str
 
 
+@frozen
+class ListRenewals:
+    """Lists the turns that were renewed after a position, as far as the requesting keeper needs.
+
+    `asker` is the disk of the requesting keeper, `asker_name` its instance. `position` counts in
+    `lifetime`, as in ListRecords, but renewals have positions of their own.
+    """
+
+    asker: str
+    asker_name: str
+    lifetime: str
+    position: int
+    view: int = field(default=0, kw_only=True)
+
+
+@frozen
+class RenewalPage:
+    """Turns by id, with the seconds for which they must be kept from now on.
+
+    The replying keeper holds those in `turns`, and the requesting one must hold them too. It lacks
+    those in `broken_chains`, which last as long as the turns after them: whoever holds one keeps
+    it, and its predecessors.
+    """
+
+    lifetime: str
+    position: int
+    turns: tuple[tuple[str, float], ...]
+    broken_chains: tuple[tuple[str, float], ...]
+    more: bool
+
+
 @frozen
 class ShareCrashes:
     """Reports workers that crashed while handling a request; the reply lists all known crashes."""
@@ -267,6 +298,7 @@
     | Keep
     | ListRecords
     | FetchTurns
+    | ListRenewals
     | ShareCrashes
     | AnnounceEntry
     | WatchObjects
@@ -276,6 +308,7 @@
     | Kept
     | RecordPage
     | TurnPage
+    | RenewalPage
     | CrashList
     | EntryList
     | RelayedChanges
--- a/egretford/keeper/records.py
+++ b/egretford/keeper/records.py
@@ -12,8 +12,9 @@
 from egretford.clock import Clock
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.keeper.log import DiskLog
-from egretford.keeper.messages import Record, Turn
+from egretford.keeper.messages import Record, RenewalPage, Turn
 from egretford.policy.ledger import Charge, Ledger, merge_charges
+from egretford.policy.renewals import RELAYED_STEP_SECONDS, RENEWAL_STEP_SECONDS, RenewalList
 
 # Turns are kept this much longer than requested, since keepers receive a turn at different times.
 RETENTION_MARGIN_SECONDS = 20.0
@@ -23,6 +24,8 @@
 # Records of streams' origins are kept this long; callers wait some seconds for a stream.
 ORIGIN_RETENTION_SECONDS = 60.0
 PAGE_RECORDS = 500
+# Expired turns that a log line names.
+LOGGED_IDS = 5
 # Text bytes in a reply of turns; takes about 50 ms on a link of 15 Mbit/s between regions.
 PAGE_BYTES = 100_000
 
@@ -82,13 +85,14 @@
         self._ledgers: dict[str, _StoredLedger] = {}
         self._position = 0
         self._positions: OrderedDict[tuple[str, ...], int] = OrderedDict()
+        self._renewals = RenewalList()
 
     def load(self) -> None:
         """Load all records from disk; logs and skips those that cannot be decoded."""
         unreadable = 0
         for segment, data in self._disk.open():
             try:
-                self._apply(decode_bytes(data, Record), segment)
+                self._apply(decode_bytes(data, Record), segment, is_copy=True)
             except Exception as error:
                 unreadable += 1
                 self._log.error("could not decode a record", segment=segment, error=repr(error))
@@ -99,10 +103,11 @@
             unreadable=unreadable,
         )
 
-    async def write(self, records: list[Record]) -> None:
+    async def write(self, records: list[Record], *, is_copy: bool = False) -> None:
         """Write the new records to disk, then apply them in memory; raises DiskError.
 
         Records that change nothing are skipped, and charges are merged with what is held.
+        `is_copy` says that they come from another keeper, where they may have been for long.
         """
         merged = [self._merge_held(record) for record in records]
         new = [record for record in merged if record is not None]
@@ -110,7 +115,7 @@
             return
         segment = await self._disk.append([encode_bytes(record, Record) for record in new])
         for record in new:
-            self._apply(record, segment)
+            self._apply(record, segment, is_copy=is_copy)
 
     def _merge_held(self, record: Record) -> Record | None:
         """Return the record as it will be held, or None if it is held already."""
@@ -123,16 +128,18 @@
                 merged = merge_charges(known, record)
                 return None if merged == known else merged
 
-    def _apply(self, record: Record, segment: int) -> None:
+    def _apply(self, record: Record, segment: int, *, is_copy: bool) -> None:
         now = self._clock.monotonic()
         match record:
             case Turn():
                 expires_at = now + record.retention + RETENTION_MARGIN_SECONDS
                 self._turns[record.id] = _StoredTurn(record, segment, expires_at)
                 self._assign_position(("turn", record.id))
-                # Other keepers may have been asked for the chain, so only they have renewed it.
-                chain, _ = self.read_chain(record.id)
-                self.renew_chain(chain)
+                if is_copy:
+                    self._extend_chain(record.previous, expires_at)
+                else:
+                    self._renewals.note_announced(record.id, expires_at)
+                    self._renew(record.previous, expires_at, RENEWAL_STEP_SECONDS)
             case Charge():
                 held = self._ledgers.setdefault(record.program, _StoredLedger(Ledger(), 0.0))
                 retention = (
@@ -171,13 +178,61 @@
         chain.reverse()
         return tuple(chain), next_id
 
-    def renew_chain(self, turns: tuple[Turn, ...]) -> None:
-        """Extend the expiry of a chain's turns, so that none expires before its successors."""
+    def renew_chain(self, turn_id: str) -> None:
+        """Let a turn that is held and its predecessors last as if it had been stored just now.
+
+        Those of other keepers that hold any of them learn of it by `list_renewals`.
+        """
+        held = self._turns.get(turn_id)
+        if held is not None:
+            expires_at = self._clock.monotonic() + held.turn.retention + RETENTION_MARGIN_SECONDS
+            self._renew(turn_id, expires_at, RENEWAL_STEP_SECONDS)
+
+    def extend_turn(self, turn_id: str, seconds: float) -> None:
+        """Let a turn that is held last for so many seconds from now, if it would not anyway."""
+        held = self._turns[turn_id]
+        held.expires_at = max(held.expires_at, self._clock.monotonic() + seconds)
+
+    def extend_chain(self, turn_id: str, seconds: float) -> None:
+        """Do the same with a turn's predecessors too, after another keeper that lacks the turn."""
+        self._renew(turn_id, self._clock.monotonic() + seconds, RELAYED_STEP_SECONDS)
+
+    def _renew(self, turn_id: str | None, expires_at: float, step: float) -> None:
+        for renewed_id in self._extend_chain(turn_id, expires_at):
+            self._renewals.add(renewed_id, expires_at, step)
+
+    def _extend_chain(self, turn_id: str | None, expires_at: float) -> list[str]:
+        """Return the ids of the chain, down to the first turn that is not held."""
+        walked: list[str] = []
+        while turn_id is not None:
+            walked.append(turn_id)
+            held = self._turns.get(turn_id)
+            if held is None:
+                break
+            held.expires_at = max(held.expires_at, expires_at)
+            turn_id = held.turn.previous
+        return walked
+
+    def list_renewals(self, position: int, is_wanted: Callable[[Turn], bool]) -> RenewalPage:
+        """Return the turns that were renewed after `position`, and how long they will be kept.
+
+        Of those that are held, only the wanted ones are listed.
+        """
         now = self._clock.monotonic()
-        for turn in turns:
-            held = self._turns[turn.id]
-            new_expiry = now + turn.retention + RETENTION_MARGIN_SECONDS
-            held.expires_at = max(held.expires_at, new_expiry)
+        turns: list[tuple[str, float]] = []
+        broken_chains: list[tuple[str, float]] = []
+        more = False
+        for renewal in self._renewals.list_after(position):
+            if len(turns) + len(broken_chains) >= PAGE_RECORDS:
+                more = True
+                break
+            position = renewal.position
+            held = self._turns.get(renewal.turn_id)
+            if held is None:
+                broken_chains.append((renewal.turn_id, renewal.expires_at - now))
+            elif is_wanted(held.turn):
+                turns.append((renewal.turn_id, held.expires_at - now))
+        return RenewalPage(self.lifetime, position, tuple(turns), tuple(broken_chains), more)
 
     def list_after(
         self,
@@ -243,9 +298,18 @@
     async def expire(self) -> None:
         """Delete expired records from memory, and the oldest segment once its turns expired."""
         now = self._clock.monotonic()
-        for turn_id in [key for key, held in self._turns.items() if now >= held.expires_at]:
+        expired = [key for key, held in self._turns.items() if now >= held.expires_at]
+        for turn_id in expired:
             del self._turns[turn_id]
             self._positions.pop(("turn", turn_id), None)
+        if expired:
+            self._log.info(
+                "deleted expired turns",
+                turns=len(expired),
+                some=expired[:LOGGED_IDS],
+                held=len(self._turns),
+            )
+        self._renewals.expire(now)
         for program in [key for key, held in self._ledgers.items() if now >= held.expires_at]:
             for request in self._ledgers.pop(program).ledger.charges:
                 self._positions.pop(("charge", program, request), None)
@@ -288,4 +352,5 @@
             "turns": len(self._turns),
             "programs": len(self._ledgers),
             "segments": len(self._disk.segments),
+            "renewals": len(self._renewals),
         }
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -24,10 +24,12 @@
     KeeperRequest,
     Kept,
     ListRecords,
+    ListRenewals,
     NotReady,
     OutdatedView,
     ProgramCharges,
     RecordPage,
+    RenewalPage,
     Reserve,
     Reserved,
     ShareCrashes,
@@ -205,6 +207,8 @@
         match message:
             case ListRecords():
                 return self._list_records(message)
+            case ListRenewals():
+                return self._list_renewals(message)
             case FetchTurns():
                 return TurnPage(tuple(self._records.find_turns(message.ids)), self._disk)
             case ShareCrashes():
@@ -282,8 +286,7 @@
         chain, missing = (), None
         if message.previous is not None:
             chain, missing = self._records.read_chain(message.previous)
-            if missing is None:
-                self._records.renew_chain(chain)
+            self._records.renew_chain(message.previous)
         charges = None
         if charge is not None:
             held = self._records.list_charges(charge.program)
@@ -315,9 +318,8 @@
             # The asker is to take copies of turns that were not listed to it before.
             scanned = 0
         copier.behind = behind
-        view, groups = self.view, self._groups
-        own_member = view.find(self._disk)
-        active_disks = list_active_after_join(view, message.asker)
+        groups = self._groups
+        active_disks = list_active_after_join(self.view, message.asker)
 
         def is_charge_wanted(program: str, charge_position: int) -> bool:
             if message.asker not in groups.find(active_disks, program):
@@ -326,14 +328,7 @@
                 message.former, program
             )
 
-        def is_turn_wanted(turn: Turn) -> bool:
-            name, tolerated = message.asker_name, self._tolerated_losses
-            if must_store_turn(view, name, turn.id, turn.copies, tolerated):
-                return True
-            return bool(behind) and name in list_near_successors(
-                view, own_member, turn.id, turn.copies, behind, tolerated, self._regions
-            )
-
+        is_turn_wanted = self._make_turn_filter(message.asker_name, behind)
         found = self._records.list_after(scanned, is_charge_wanted, is_turn_wanted)
         charges = [ProgramCharges.pack(*item) for item in found.charges.items()]
         return RecordPage(
@@ -347,6 +342,26 @@
             self.coverage.completion.generation,
         )
 
+    def _list_renewals(self, message: ListRenewals) -> RenewalPage:
+        """List the renewals that the requesting keeper does not know and must."""
+        same_lifetime = message.lifetime == self._records.lifetime
+        is_wanted = self._make_turn_filter(message.asker_name, self._list_behind(message.asker))
+        return self._records.list_renewals(message.position if same_lifetime else 0, is_wanted)
+
+    def _make_turn_filter(self, name: str, behind: frozenset[str]) -> Callable[[Turn], bool]:
+        """Return whether the keeper of instance `name` must store a turn that this one holds."""
+        view, tolerated = self.view, self._tolerated_losses
+        own_member = view.find(self._disk)
+
+        def is_wanted(turn: Turn) -> bool:
+            if must_store_turn(view, name, turn.id, turn.copies, tolerated):
+                return True
+            return bool(behind) and name in list_near_successors(
+                view, own_member, turn.id, turn.copies, behind, tolerated, self._regions
+            )
+
+        return is_wanted
+
     def _find_copier(self, disk: str) -> Copier:
         """Return what is known of a keeper that copies from this one, since now at the latest."""
         return self._copiers.setdefault(disk, Copier(self._clock.monotonic()))
--- a/tests/keeper/simulation.py
+++ b/tests/keeper/simulation.py
@@ -7,6 +7,7 @@
 
 from attrs import Factory, define, field
 
+from egretford.controllers.loops import TaskGroup, run_every
 from egretford.entry.keepers import KeeperClient
 from egretford.entry.turns import Turns
 from egretford.errors import (
@@ -20,6 +21,7 @@
 from egretford.keeper.membership import Membership
 from egretford.keeper.messages import Keep, KeeperReply, KeeperRequest, Reserved, Turn, TurnPage
 from egretford.keeper.records import Records
+from egretford.keeper.renewals import RenewalFeed
 from egretford.keeper.service import KeeperService
 from egretford.metrics import Metrics
 from egretford.models import ErrorReply
@@ -177,6 +179,11 @@
             machine.name, disk, self.service, self.records, peers, self.access, clock, log
         )
         self.service.on_view_adopted = self.copier.handle_new_view
+        self.renewals = RenewalFeed(
+            machine.name, disk, self.service, self.records, self.copier, peers, clock, log
+        )
+        self._maintenance = TaskGroup()
+        self._clock, self._log = clock, log
         self.membership = Membership(
             Member(machine.name, disk, machine.name, machine.domain),
             self.service,
@@ -195,7 +202,11 @@
         self.records.load()
         self.service.load_view(self.access.disk.completion)
         await self.copier.start()
+        await self.renewals.start()
         await self.membership.start()
+        self._maintenance.spawn(
+            run_every(self._clock, MAINTENANCE_INTERVAL_SECONDS, self.records.expire, self._log)
+        )
 
     async def answer(self, message):
         try:
@@ -207,7 +218,12 @@
 
     def kill(self, has_power: bool) -> None:
         self.access.kill(has_power)
-        groups = (self.copier._tasks, self.membership._tasks)
+        groups = (
+            self.copier._tasks,
+            self.renewals._tasks,
+            self.membership._tasks,
+            self._maintenance,
+        )
         for task in {*self.requests, *(task for group in groups for task in group._tasks)}:
             task.cancel()
 
--- a/tests/keeper/test_records.py
+++ b/tests/keeper/test_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from attrs import evolve
+
 from egretford.keeper.log import DiskLog
 from egretford.keeper.messages import Turn
 from egretford.keeper.records import (
@@ -86,8 +88,7 @@
     records = make_records(tmp_path, clock)
     await records.write([make_turn(1)])
     clock.time = 60.0 + RETENTION_MARGIN_SECONDS - 1
-    chain, _ = records.read_chain("t1")
-    records.renew_chain(chain)
+    records.renew_chain("t1")
     clock.time += 50
     await records.expire()
     assert records.read_chain("t1")[1] is None
@@ -152,3 +153,69 @@
     await records.expire()
     chain, missing = records.read_chain("t2")
     assert [turn.id for turn in chain] == ["t1", "t2"] and missing is None
+
+
+# Guards against earlier turns of a chain that expire before its newest one: the time for which
+# turns are kept was raised in between.
+async def test_a_chain_takes_the_retention_of_its_newest_turn(tmp_path):
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    await records.write([make_turn(1)])
+    await records.write([evolve(make_turn(2, "t1"), retention=120.0)])
+    clock.time = 120.0
+    await records.expire()
+    assert records.read_chain("t2")[1] is None
+
+
+def list_renewed(records, position=0):
+    page = records.list_renewals(position, lambda turn: True)
+    return dict(page.turns), dict(page.broken_chains), page.position
+
+
+# Guards against turns that expire at another keeper though their program goes on: it is told
+# neither of the turns that both hold nor of those that only it holds.
+async def test_a_new_turn_lists_what_it_continues_as_renewed(tmp_path):
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    life = 60.0 + RETENTION_MARGIN_SECONDS
+    await records.write([make_turn(2, "t1")])
+    assert list_renewed(records)[:2] == ({}, {"t1": life})
+    clock.time = 30.0
+    await records.write([make_turn(3, "t2")])
+    turns, broken_chains, position = list_renewed(records)
+    assert (turns, broken_chains) == ({"t2": life}, {"t1": life})
+    clock.time = 31.0
+    await records.write([make_turn(4, "t3")])
+    assert list_renewed(records, position)[:2] == ({}, {})
+    clock.time = 40.0
+    records.renew_chain("t4")
+    assert list_renewed(records, position)[0] == dict.fromkeys(("t2", "t3", "t4"), life)
+    clock.time = 40.0 + life
+    await records.expire()
+    assert records.counts["renewals"] == 0
+
+
+# Guards against turns that expire at other keepers after this one was restarted: it can not know
+# whether they have learnt of the renewals before.
+async def test_the_first_renewal_after_a_restart_is_listed(tmp_path):
+    clock = FakeClock()
+    await make_records(tmp_path, clock).write([make_turn(1)])
+    reloaded = make_records(tmp_path, clock)
+    assert list_renewed(reloaded)[:2] == ({}, {})
+    reloaded.renew_chain("t1")
+    assert list(list_renewed(reloaded)[0]) == ["t1"]
+
+
+# Guards against a renewal that ends at the second gap of a chain: the keeper that has the part
+# between two gaps is the only one to know where it ends.
+async def test_a_renewal_by_another_keeper_is_passed_on_at_the_next_gap(tmp_path):
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    await records.write([make_turn(3, "t2"), make_turn(4, "t3")])
+    position = list_renewed(records)[2]
+    clock.time = 50.0
+    records.extend_chain("t4", 80.0)
+    assert list_renewed(records, position)[1] == {"t2": 80.0}
+    clock.time = 100.0
+    await records.expire()
+    assert [turn.id for turn in records.read_chain("t4")[0]] == ["t3", "t4"]
