Soak: check workers per attempt, time left, crashing requests and resumed streams

The soak checked neither how many workers run one attempt, nor the time that is passed on, nor what becomes of a request that crashes its workers, nor the order of a stream's pieces over a resumption. Now it does, each check with a test that shows it red. New faults, in a series and with a generator of their own: workers that start again under their id with another version that the list shows later, workers that are silent for about a second, requests that crash each worker. Callers resume streams. `--grown` runs 9 keepers and 50 entries.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,7 +18,8 @@
 
 from egretford.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from tests.platform.deployment import make_configuration
-from tests.soak.load import Load
+from tests.platform.standins import WorkerStandin
+from tests.soak.load import CRASHING_BODY, Load
 from tests.soak.processes import CORE, Cluster, Disruption, Node
 from tests.soak.proxy import Mode, Proxy
 
@@ -54,7 +55,11 @@
 # These have their own series and random generator, so that seeds that were recorded before these
 # faults existed still produce the same sequence of other faults.
 KEEPER_FAULTS = ("keeper_replace", "keeper_slow_disk")
+# These have a series and generator of their own for the same reason.
+WORKER_FAULTS = ("worker_upgrade", "worker_silence", "crashing_request")
 PLANNED = ("entry_term", "entry_hup", "configuration", "worker_leave")
+# How long a request that crashes workers is repeated.
+CRASHING_SECONDS = 12.0
 SHORT_PAUSE = (0.1, 1.2)
 LONG_PAUSE = (1.0, 6.0)
 
@@ -67,6 +72,7 @@
     load: Load
     rng: random.Random
     keeper_rng: random.Random
+    worker_rng: random.Random
     injected: Counter = Factory(Counter)
     problems: list[str] = Factory(list)
     _unavailable_keepers: set[str] = Factory(set)
@@ -78,6 +84,7 @@
         await asyncio.gather(
             *(self._run_series(self.rng, FAULTS, seconds) for _ in range(3)),
             self._run_series(self.keeper_rng, KEEPER_FAULTS, seconds, LONG_PAUSE),
+            *(self._run_series(self.worker_rng, (k,), seconds, LONG_PAUSE) for k in WORKER_FAULTS),
         )
         await asyncio.gather(
             *(self._run_series(self.rng, PLANNED, PLANNED_SECONDS) for _ in range(2)),
@@ -158,6 +165,7 @@
             for worker in self.cluster.workers
             if ("servers", worker.id) in self.cluster.store.objects
             and worker.id not in self._reserved_names
+            and worker not in self.cluster.ended_workers
         ]
         worker = self.rng.choice(candidates)
         self._reserved_names.add(worker.id)
@@ -169,6 +177,41 @@
             await self.cluster.remove_worker(worker, crash=crash)
         return True
 
+    def _choose_worker(self, upstream: str) -> WorkerStandin | None:
+        """Return a running worker that no other fault will restart, or None."""
+        candidates = [
+            worker
+            for worker in self.cluster.workers
+            if worker.upstream == upstream
+            and ("servers", worker.id) in self.cluster.store.objects
+            and worker.id not in self._reserved_names
+            and worker not in self.cluster.ended_workers
+        ]
+        return self.worker_rng.choice(candidates) if candidates else None
+
+    async def _worker_upgrade(self) -> bool:
+        """Restart a worker under its id with a new software version, which the list shows later."""
+        worker = self._choose_worker("models")
+        if worker is None:
+            return False
+        self._reserved_names.add(worker.id)
+        version = self.worker_rng.choice(("v1", "v2"))
+        lag = self.worker_rng.uniform(0.0, 1.0)
+        await self.cluster.restart_worker(worker, version, delay=0.1, lag=lag)
+        self._reserved_names.discard(worker.id)
+        return True
+
+    async def _worker_silence(self) -> bool:
+        """Let a worker be silent for about a second, which costs no request its answer."""
+        worker = self.worker_rng.choice(self.cluster.workers)
+        await self.cluster.silence_worker(worker.id, self.worker_rng.uniform(0.7, 1.2))
+        return True
+
+    async def _crashing_request(self) -> bool:
+        body = CRASHING_BODY + str(self.worker_rng.randrange(10**6)).encode()
+        await self.load.send_crashing(body, CRASHING_SECONDS)
+        return True
+
     # Entries
 
     def _reserve_entry(self) -> Node | None:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -158,6 +158,11 @@
     retired_keepers: list[Node] = Factory(list)
     keepers_added: int = 0
     disruptions: list[Disruption] = Factory(list)
+    # Times of the crashes that each request caused, by its body.
+    crashes: dict[bytes, list[float]] = Factory(dict)
+    ended_workers: set[WorkerStandin] = Factory(set)
+    _tasks: set[asyncio.Task] = Factory(set)
+    _silent: dict[str, asyncio.Event] = Factory(dict)
     version: int = 3
 
     async def start(self) -> None:
@@ -200,6 +205,54 @@
         await worker.close()
         self.worker_proxies[worker.id].reset()
 
+    def crash_worker(self, worker: WorkerStandin, body: bytes) -> None:
+        """End a worker's process for a request; a second later another one has its id."""
+        if worker not in self.ended_workers:
+            self.crashes.setdefault(body, []).append(asyncio.get_running_loop().time())
+            task = asyncio.create_task(self.restart_worker(worker, worker.version, delay=1.0))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def restart_worker(
+        self, worker: WorkerStandin, version: str, delay: float, lag: float = 0.0
+    ) -> None:
+        """Restart a worker under its id with a version that the list shows `lag` s later."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self.ended_workers.add(worker)
+        await self._replace_process(worker, version, delay, lag)
+        self.disruptions.append(Disruption(worker.id, started, loop.time()))
+
+    async def _replace_process(
+        self, worker: WorkerStandin, version: str, delay: float, lag: float
+    ) -> None:
+        proxy = self.worker_proxies[worker.id]
+        proxy.mode = Mode.REFUSE
+        proxy.reset()
+        await worker.close()
+        await asyncio.sleep(delay)
+        new = WorkerStandin(worker.id, worker.upstream, worker.zone, engine=worker.engine)
+        new.version, new.born = version, worker.born + 1
+        await new.start()
+        new.script = worker.script
+        self.workers.append(new)
+        proxy.target, proxy.mode = new.address, Mode.PASS
+        await asyncio.sleep(lag)
+        if ("servers", worker.id) in self.store.objects:
+            description = {**new.describe(), "address": proxy.address}
+            self.store.put("servers", worker.id, description)
+
+    async def silence_worker(self, worker_id: str, seconds: float) -> None:
+        """Let a worker neither answer nor go on for some seconds; nothing is lost."""
+        event = self._silent[worker_id] = asyncio.Event()
+        await asyncio.sleep(seconds)
+        event.set()
+
+    async def wait_while_silent(self, worker_id: str) -> None:
+        """Return once a worker is not silent."""
+        if worker_id in self._silent:
+            await self._silent[worker_id].wait()
+
     def retire_keeper(self, node: Node, mode: Mode) -> None:
         """Remove a keeper permanently; its proxy handles later connections as `mode` says."""
         self.keepers.remove(node)
@@ -249,6 +302,8 @@
         )
 
     async def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
         for node in (*self.entries, *self.keepers, *self.retired_keepers):
             node.refuse_writes(False)
             await node.stop(signal.SIGKILL)
