A process that stood still does not blame its peers

What callers saw: turns refused with 503 ("no quorum answered") while all keepers were sound, streams that ran a second time at a worker that had gone on all the while, and, as a lost stream counts as a crash, requests on their way to being blocked.

Cause: a process that is stopped, or gets no processor time, finds its timers expired when it goes on. asyncio.timeout then cancels the read although the reply is in the socket, so each limit on a reply (a stream's event, a response head, a connection, a keeper, the store) takes the own stall for silence of the peer. A keeper that stood still for 5 s would drop another one that replied meanwhile.

Fix: ReplyTimeout handles replies that are ready first, and adds the time that the process stood still, at most the limit each time. It replaces asyncio.timeout wherever a peer is waited for; callers' own deadlines stay as they were. A keeper gives the others as much more time (keeper/stalls.py). A stream of bytes that complete no event is still given up at its limit: bytes that arrive show that the process does not stand still.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -34,6 +34,7 @@
     encode_state_request,
 )
 from egretford.policy.placement import Placement
+from egretford.timeouts import ReplyTimeout
 
 # Longest idle time, in seconds, of a pooled connection that is reused. An idle connection may
 # be dead, so calls that cannot be retried only reuse recently used ones.
@@ -308,7 +309,7 @@
         worker = tracked.worker.id
         connection.send(encode_state_request(tracked.worker))
         try:
-            async with asyncio.timeout(STATE_TIMEOUT_SECONDS):
+            async with ReplyTimeout(STATE_TIMEOUT_SECONDS):
                 born = decode_start_time(*await read_response(connection, MAX_STATE_BYTES))
         except (BrokenResponseError, TimeoutError) as error:
             if worker in job.history.sends_by_worker:
@@ -345,7 +346,7 @@
         if another worker answered, and UpstreamLostError if the head is late or unusable.
         """
         try:
-            async with asyncio.timeout(get_read_timeout(job)):
+            async with ReplyTimeout(get_read_timeout(job)):
                 reply = await self._match_reply(job, tracked, connection)
         except TimeoutError as error:
             raise UpstreamLostError("no response head in time", crashed=False) from error
--- a/egretford/entry/origins.py
+++ b/egretford/entry/origins.py
@@ -13,6 +13,7 @@
 from egretford.errors import ErrorKind, RequestError
 from egretford.keeper.messages import Reserve, Reserved
 from egretford.policy.ledger import Charge, StreamOrigin, merge_ledgers
+from egretford.timeouts import ReplyTimeout
 
 # Prefix of the keys of streams' records, which keeps them apart from programs.
 STREAM_PREFIX = "stream/"
@@ -67,7 +68,7 @@
     async def _read(self, stream_id: str) -> StreamOrigin | None:
         """Return the recorded origin of a stream, or None if a quorum knows or answers nothing."""
         try:
-            async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+            async with ReplyTimeout(READ_TIMEOUT_SECONDS):
                 return await self._merge(stream_id, None)
         except (KeepersUnavailableError, TimeoutError) as error:
             self._log.info(
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -14,6 +13,7 @@
 from egretford.errors import ErrorKind, UpstreamLostError
 from egretford.http.client import BodyEnd, BodyPart, ClientConnection, read_body
 from egretford.http.messages import Headers
+from egretford.timeouts import STALL_SECONDS, ReplyTimeout
 
 # Timeout, in seconds, of a repeatable call's response head, and again of its body, after which the
 # call is sent to another worker. The slowest takes some tens of milliseconds on an idle worker.
@@ -48,7 +48,7 @@
     ) -> None:
         """Relay a complete body; raises UpstreamLostError if the call may be repeated."""
         try:
-            async with asyncio.timeout(get_read_timeout(job)):
+            async with ReplyTimeout(get_read_timeout(job)):
                 body = await read_body(connection, MAX_ANSWER_BYTES)
         except TimeoutError as error:
             raise UpstreamLostError("no whole body in time", crashed=False) from error
@@ -68,10 +68,14 @@
         # Text in place of the rest of a stream is an error's, as workers send none before events.
         splitter = EventSplitter(rejects_text=job.responder.started)
         events_before = job.events
-        last_event_at = self._clock.monotonic()
+        last_event_at = last_part_at = self._clock.monotonic()
         while not isinstance(
-            part := await self._read_stream_part(job, tracked, connection, last_event_at), BodyEnd
+            part := await self._read_stream_part(
+                job, tracked, connection, last_event_at, last_part_at
+            ),
+            BodyEnd,
         ):
+            last_part_at = self._clock.monotonic()
             try:
                 events = splitter.feed(part.data)
             except EventError as error:
@@ -79,7 +83,7 @@
             for event in events:
                 await self._relay_event(job, reply, event)
             if events:
-                last_event_at = self._clock.monotonic()
+                last_event_at = last_part_at = self._clock.monotonic()
         if splitter.has_partial_event:
             raise UpstreamLostError("the stream ended inside an event", crashed=True)
         if not part.is_framed and job.events == events_before:
@@ -102,6 +106,7 @@
         tracked: TrackedWorker,
         connection: ClientConnection,
         last_event_at: float,
+        last_part_at: float,
     ) -> BodyPart | BodyEnd:
         """Return the next part of the body; a resumable stream has a limit on silence.
 
@@ -110,10 +115,14 @@
         on a new connection, and otherwise waits without a limit until the next event.
         """
         limit = None
+        now = self._clock.monotonic()
         if job.route.resumable and job.tolerated_silence_start != last_event_at:
-            limit = last_event_at + job.history.idle_timeout - self._clock.monotonic()
+            limit = last_event_at + job.history.idle_timeout - now
         try:
-            async with asyncio.timeout(limit):
+            if limit is not None and limit <= 0 and now - last_part_at < STALL_SECONDS:
+                # Bytes arrive, and this process reads them, but they complete no event.
+                raise TimeoutError
+            async with ReplyTimeout(limit):
                 return await connection.read()
         except TimeoutError as error:
             worker = tracked.worker.id
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -15,6 +15,7 @@
 
 from egretford.errors import EgretfordError
 from egretford.http.messages import Headers, ResponseHead, encode_head
+from egretford.timeouts import ReplyTimeout
 
 # A connection is closed if sent data stays unacknowledged this long, as behind a network partition.
 TCP_USER_TIMEOUT_MILLISECONDS = 3_000
@@ -122,7 +123,7 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(timeout):
+            async with ReplyTimeout(timeout):
                 _, connection = await loop.create_connection(lambda: cls(address), host, int(port))
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise ConnectError(f"{address}: {error!r}") from error
@@ -139,7 +140,7 @@
         deadline = loop.time() + timeout
         connection = await cls.open(server, timeout)
         try:
-            async with asyncio.timeout_at(deadline):
+            async with ReplyTimeout(deadline - loop.time()):
                 await connection._connect_tunnel(address)
         except (BrokenResponseError, TimeoutError) as error:
             connection.close()
@@ -380,7 +381,7 @@
     """
     body = bytearray()
     while True:
-        async with asyncio.timeout(idle_seconds):
+        async with ReplyTimeout(idle_seconds):
             event = await connection.read()
         if isinstance(event, BodyEnd):
             return bytes(body)
--- a/egretford/http/tunnel.py
+++ b/egretford/http/tunnel.py
@@ -17,6 +17,7 @@
 from egretford.errors import EgretfordError
 from egretford.http.client import TARGET_UNREACHABLE_STATUS, set_keep_alive, set_socket_options
 from egretford.http.messages import encode_head, encode_status_line
+from egretford.timeouts import ReplyTimeout
 
 # Seconds in which the request for a tunnel must arrive; it is one packet.
 HEAD_TIMEOUT_SECONDS = 2.0
@@ -110,7 +111,7 @@
         host, _, port = target.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self._connect_timeout):
+            async with ReplyTimeout(self._connect_timeout):
                 _, upstream = await loop.create_connection(
                     lambda: _TunnelEnd(caller), host, int(port)
                 )
--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -206,6 +206,11 @@
                 loops = (self._list_from(source), self._fetch_from(source))
                 self._copy_tasks[disk] = [self._tasks.spawn(loop) for loop in loops]
 
+    def extend_reply_time(self, seconds: float) -> None:
+        """Give all other keepers more time to reply, as this one did not read their replies."""
+        for source in self.sources.values():
+            source.last_reply_at += seconds
+
     def _is_current(self, source: Source) -> bool:
         return self.sources.get(source.member.disk) is source
 
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -19,6 +19,7 @@
 from egretford.keeper.records import Records
 from egretford.keeper.renewals import RenewalFeed
 from egretford.keeper.service import KeeperService
+from egretford.keeper.stalls import StallWatch
 from egretford.logs import make_logger
 from egretford.metrics import Metrics
 from egretford.peer.streams import StreamPeerClient, StreamPeerServer
@@ -93,6 +94,7 @@
             clock,
             self._make_logger("renewals"),
         )
+        self._stalls = StallWatch(self._copier, clock, self._make_logger("stalls"))
         self._store = MetadataStore(settings.store_address, clock, self._make_logger("store"))
         health = StoreHealth(clock, self._make_logger("store"))
         evacuations = StoredEvacuations(self._store, self._make_logger("evacuation"))
@@ -150,6 +152,7 @@
         await self._relay.start()
         await self._copier.start()
         await self._renewals.start()
+        await self._stalls.start()
         await self._membership.start()
         self._tasks.spawn(
             run_every(self._clock, MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance, self._log)
@@ -179,6 +182,7 @@
     async def close(self) -> None:
         """Stop all components; the log on disk is closed last."""
         await self._membership.close()
+        await self._stalls.close()
         await self._renewals.close()
         await self._copier.close()
         await self._feed.close()
--- a/egretford/peer/streams.py
+++ b/egretford/peer/streams.py
@@ -24,6 +24,7 @@
 from egretford.errors import ErrorKind, PeerUnreachableError, RequestError, Verdict
 from egretford.http.client import set_socket_options
 from egretford.models import ErrorReply
+from egretford.timeouts import ReplyTimeout
 
 LENGTH = struct.Struct(">I")
 MAX_FRAME_BYTES = 16_000_000
@@ -183,7 +184,7 @@
         data = encode_bytes(message, self._requests)
         link = self._find_link(address)
         try:
-            async with asyncio.timeout(seconds):
+            async with ReplyTimeout(seconds):
                 answer = await self._exchange(link, data)
         except TimeoutError as error:
             self._replace(link)
@@ -213,7 +214,7 @@
     async def _connect(self, address: str, link: _Link) -> _FrameProtocol:
         host, _, port = address.removeprefix("tcp://").rpartition(":")
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+        async with ReplyTimeout(CONNECT_TIMEOUT_SECONDS):
             _, protocol = await loop.create_connection(
                 lambda: _FrameProtocol(
                     lambda _, number, payload: link.deliver_reply(number, payload)
--- a/egretford/platform/store.py
+++ b/egretford/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -26,6 +25,7 @@
 )
 from egretford.http.messages import encode_head
 from egretford.platform.json import decode_json
+from egretford.timeouts import ReplyTimeout
 
 # A response begins after a few milliseconds, and some hundred while the store is disrupted.
 CALL_TIMEOUT_SECONDS = 1.5
@@ -177,9 +177,9 @@
         try:
             async with self._acquire_connection() as connection:
                 connection.send(head + data)
-                async with asyncio.timeout(timeout_seconds):
+                async with ReplyTimeout(timeout_seconds):
                     response_head = await connection.read()
-                async with asyncio.timeout(MAX_TRANSFER_SECONDS):
+                async with ReplyTimeout(MAX_TRANSFER_SECONDS):
                     content = await read_body(
                         connection, MAX_RESPONSE_BYTES, idle_seconds=MAX_STALL_SECONDS
                     )
--- /dev/null
+++ b/egretford/timeouts.py
@@ -0,0 +1,58 @@
+"""Timeouts for replies of other processes, which a stall of this process does not use up.
+
+A process that was stopped, or got no processor time, finds its timers expired when it goes on,
+though the replies may have arrived long before. It must not take that for silence of its peers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from types import TracebackType
+
+# A timer that is later than this shows that the process stood still, in seconds. Other tasks of
+# a busy event loop delay timers by some tens of milliseconds.
+STALL_SECONDS = 0.1
+
+
+class ReplyTimeout:
+    """An asynchronous context manager that raises TimeoutError after `seconds`; None sets no limit.
+
+    Replies that are ready when the time is over are handled first. Time in which this process stood
+    still is added, as replies to it may have been delayed as well, but at most `seconds` each time.
+    """
+
+    def __init__(self, seconds: float | None) -> None:
+        self._seconds = seconds
+        self._due = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timeout = asyncio.timeout(None)
+
+    async def __aenter__(self) -> ReplyTimeout:
+        await self._timeout.__aenter__()
+        if self._seconds is not None:
+            self._start_timer(self._seconds)
+        return self
+
+    def _start_timer(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._due = loop.time() + seconds
+        self._timer = loop.call_at(self._due, self._check)
+
+    def _check(self) -> None:
+        loop = asyncio.get_running_loop()
+        late_seconds = loop.time() - self._due
+        if late_seconds > STALL_SECONDS:
+            self._start_timer(min(late_seconds, self._seconds))
+        else:
+            # Takes effect after the tasks whose replies have arrived.
+            self._timeout.reschedule(loop.time())
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        if self._timer is not None:
+            self._timer.cancel()
+        return await self._timeout.__aexit__(kind, error, traceback)
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -1,6 +1,7 @@
 """Runs HTTP servers on the event loop of a test."""
 
 import asyncio
+import time
 
 import uvicorn
 
@@ -15,3 +16,8 @@
     while not server.started:
         await asyncio.sleep(0.01)
     return server, task, server.servers[0].sockets[0].getsockname()[1]
+
+
+def stand_still(seconds: float) -> None:
+    """Block the event loop, like a process that is stopped or gets no processor time."""
+    time.sleep(seconds)
