A second of silence does not make a stream run again, nor count as a crash

What callers saw: a resumable stream whose worker paused for 0.6 s was sent a second time, and the silence counted as a crash of the worker: after three of them the request would be blocked at all entries.

Cause: the idle timeout was 0.6 s, twice the longest pause that is on time, and the lost attempt was marked as a crash.

Fix: the first silence may last 1.3 s. The second connection has 1.4 s, or 0.6 s where another worker may take over, and after that the other one does, so that it still is in time; before, the same worker got three sends of 0.6 s each. A silence is no crash. A stream of bytes that is refused for its size counts like a silence: its time is gone as well.

Looked at as well, and left: a call that may be repeated (`safe`) goes to another worker after 0.3 s without a head. Its workers answer within some tens of milliseconds, callers wait one second, and the route allows it; none of its answers is cut, nothing counts as a crash, and never more workers than the route's attempts get it.

Tests: tests/platform/test_stalls.py (the case of 1.1 s red before: sent twice), tests/policy/test_attempts.py (the timeout of the second connection was asked to equal the first, it is asked to be no longer now; the order of workers is asked besides). tests/entry/test_forwarding.py holds the time limits of the endless streams as they were: all pass.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -212,6 +212,7 @@
             # A stream is retried at the same worker, which has its prompt cached; other calls
             # move to another worker if they may.
             can_retry_here = job.history.may_retry_on(worker) and not tracked.state.leaving
+            can_retry_here = can_retry_here and not job.history.prefers_other_worker
             if can_retry_here and (job.route.resumable or not job.history.may_add_worker):
                 job.retry_worker = tracked
                 return
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from attrs import define
+
 from egretford.clock import Clock
 from egretford.entry.events import EventError, EventSplitter, StreamEvent
 from egretford.entry.jobs import ForwardingJob
@@ -13,7 +15,7 @@
 from egretford.errors import ErrorKind, UpstreamLostError
 from egretford.http.client import BodyEnd, BodyPart, ClientConnection, read_body
 from egretford.http.messages import Headers
-from egretford.timeouts import STALL_SECONDS, ReplyTimeout
+from egretford.timeouts import ReplyTimeout
 
 # Timeout, in seconds, of a repeatable call's response head, and again of its body, after which the
 # call is sent to another worker. The slowest takes some tens of milliseconds on an idle worker.
@@ -30,6 +32,23 @@
     return None
 
 
+@define
+class _Silence:
+    """The time since the last event of a stream; `started_at` in monotonic seconds."""
+
+    started_at: float
+    _has_last_read: bool = False
+
+    def start_last_read(self) -> None:
+        """Allow one read after the limit: if this process stood still, an event may have arrived.
+
+        Raises TimeoutError the next time, as bytes that complete no event end no silence.
+        """
+        if self._has_last_read:
+            raise TimeoutError
+        self._has_last_read = True
+
+
 class ResponseRelay:
     """Relays bodies and events; `list_candidates` returns the workers that may take over."""
 
@@ -68,22 +87,20 @@
         # Text in place of the rest of a stream is an error's, as workers send none before events.
         splitter = EventSplitter(rejects_text=job.responder.started)
         events_before = job.events
-        last_event_at = last_part_at = self._clock.monotonic()
+        silence = _Silence(self._clock.monotonic())
         while not isinstance(
-            part := await self._read_stream_part(
-                job, tracked, connection, last_event_at, last_part_at
-            ),
-            BodyEnd,
+            part := await self._read_stream_part(job, tracked, connection, silence), BodyEnd
         ):
-            last_part_at = self._clock.monotonic()
             try:
                 events = splitter.feed(part.data)
             except EventError as error:
+                # It may have taken as long as a silence, so the next connection gets no more time.
+                job.history.record_idle_timeout()
                 raise UpstreamLostError(str(error), crashed=False) from error
             for event in events:
                 await self._relay_event(job, reply, event)
             if events:
-                last_event_at = last_part_at = self._clock.monotonic()
+                silence = _Silence(self._clock.monotonic())
         if splitter.has_partial_event:
             raise UpstreamLostError("the stream ended inside an event", crashed=True)
         if not part.is_framed and job.events == events_before:
@@ -105,8 +122,7 @@
         job: ForwardingJob,
         tracked: TrackedWorker,
         connection: ClientConnection,
-        last_event_at: float,
-        last_part_at: float,
+        silence: _Silence,
     ) -> BodyPart | BodyEnd:
         """Return the next part of the body; a resumable stream has a limit on silence.
 
@@ -115,13 +131,11 @@
         on a new connection, and otherwise waits without a limit until the next event.
         """
         limit = None
-        now = self._clock.monotonic()
-        if job.route.resumable and job.tolerated_silence_start != last_event_at:
-            limit = last_event_at + job.history.idle_timeout - now
+        if job.route.resumable and job.tolerated_silence_start != silence.started_at:
+            limit = silence.started_at + job.history.idle_timeout - self._clock.monotonic()
         try:
-            if limit is not None and limit <= 0 and now - last_part_at < STALL_SECONDS:
-                # Bytes arrive, and this process reads them, but they complete no event.
-                raise TimeoutError
+            if limit is not None and limit <= 0:
+                silence.start_last_read()
             async with ReplyTimeout(limit):
                 return await connection.read()
         except TimeoutError as error:
@@ -129,8 +143,8 @@
             others = any(t is not tracked for t in self._list_candidates(job))
             if job.history.may_retry(worker, leaving=tracked.state.leaving, others=others):
                 job.history.record_idle_timeout()
-                raise UpstreamLostError("the stream went silent", crashed=True) from error
-        job.tolerated_silence_start = last_event_at
+                raise UpstreamLostError("the stream went silent", crashed=False) from error
+        job.tolerated_silence_start = silence.started_at
         self._log.info(
             "a silent worker cannot be replaced; waiting", request=job.request.id, worker=worker
         )
--- a/egretford/policy/attempts.py
+++ b/egretford/policy/attempts.py
@@ -8,12 +8,14 @@
 # percent of their responses, so a third failure in a row has another cause.
 MAX_RETRIES = 2
 # Idle timeout of a resumable stream, in seconds. The request is then sent again on a new
-# connection, since the old one may be dead; an event is already late after a gap of 0.3 s.
-IDLE_TIMEOUT_SECONDS = 0.6
-# Idle timeout after a new connection did not help either, in seconds: the worker is probably
-# slow, not unreachable. Both timeouts add up to more than the 2 s after which callers may
-# disconnect.
-RECONNECTED_IDLE_TIMEOUT_SECONDS = 1.8
+# connection, since the old one may be dead. Sound workers may be silent for about a second, and
+# callers disconnect after two.
+IDLE_TIMEOUT_SECONDS = 1.3
+# Idle timeout of the second connection, in seconds, if no other worker may take over: the worker
+# is probably slow, not unreachable.
+RECONNECTED_IDLE_TIMEOUT_SECONDS = 1.4
+# The same if another worker may take over, which then does so in time for the caller.
+REPLACEABLE_IDLE_TIMEOUT_SECONDS = 0.6
 # Backoff in seconds before a request whose response has already begun is offered again after
 # all workers refused it; doubled each time up to the maximum. Either a slot is free within some
 # tens of milliseconds, or the workers stay full for a while.
@@ -60,8 +62,16 @@
         Reconnecting to a slow worker costs time, so the second connection gets a longer
         timeout, unless another worker may take over: retrying there is faster.
         """
-        reconnected = self.idle_timeouts and not self.may_add_worker
-        return RECONNECTED_IDLE_TIMEOUT_SECONDS if reconnected else IDLE_TIMEOUT_SECONDS
+        if not self.idle_timeouts:
+            return IDLE_TIMEOUT_SECONDS
+        if self.may_add_worker:
+            return REPLACEABLE_IDLE_TIMEOUT_SECONDS
+        return RECONNECTED_IDLE_TIMEOUT_SECONDS
+
+    @property
+    def prefers_other_worker(self) -> bool:
+        """Whether to leave a worker that may be retried, as a new connection did not help."""
+        return self.idle_timeouts > 1 and self.may_add_worker
 
     @property
     def may_add_worker(self) -> bool:
--- a/egretford/timeouts.py
+++ b/egretford/timeouts.py
@@ -18,11 +18,12 @@
     """An asynchronous context manager that raises TimeoutError after `seconds`; None sets no limit.
 
     Replies that are ready when the time is over are handled first. Time in which this process stood
-    still is added, as replies to it may have been delayed as well, but at most `seconds` each time.
+    still is added, as replies to it may have been delayed as well, but at most `seconds` in all.
     """
 
     def __init__(self, seconds: float | None) -> None:
-        self._seconds = seconds
+        self._seconds = None if seconds is None else max(0.0, seconds)
+        self._extension_left = self._seconds
         self._due = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._timeout = asyncio.timeout(None)
@@ -41,8 +42,10 @@
     def _check(self) -> None:
         loop = asyncio.get_running_loop()
         late_seconds = loop.time() - self._due
-        if late_seconds > STALL_SECONDS:
-            self._start_timer(min(late_seconds, self._seconds))
+        if late_seconds > STALL_SECONDS and self._extension_left:
+            extension = min(late_seconds, self._extension_left)
+            self._extension_left -= extension
+            self._start_timer(extension)
         else:
             # Takes effect after the tasks whose replies have arrived.
             self._timeout.reschedule(loop.time())
--- a/tests/platform/test_stalls.py
+++ b/tests/platform/test_stalls.py
@@ -52,6 +52,14 @@
     assert len(deployment.arrivals("p1")) == 1
 
 
+# Guards against streams that run twice: a sound worker was silent for a second.
+async def test_a_stream_waits_for_a_worker_that_is_silent_for_a_second(deployment):
+    script_streams(deployment, lambda: asyncio.sleep(1.1))
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert answer.is_complete and answer.body == COMPLETE_BODY
+    assert len(deployment.arrivals("p1")) == 1
+
+
 # Guards against refused turns, and against sound keepers that count as unavailable: the entry stood
 # still while they replied.
 async def test_a_stall_while_keepers_reply_refuses_no_turn(deployment, monkeypatch):
--- a/tests/platform/test_started_responses.py
+++ b/tests/platform/test_started_responses.py
@@ -45,7 +45,7 @@
     ), f"ended after {seconds:.2f} s, sent {sent} times"
 
 
-# Guards against a response that is cut off after 0.6 s of silence because its worker is leaving
+# Guards against a response that is cut off after a silence because its worker is leaving
 # and gets no new requests.
 async def test_a_stream_stays_at_a_slow_worker_that_is_leaving(deployment):
     async def announce_leaving_and_pause(worker, arrival, responder):
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -11,6 +11,7 @@
     MAX_BACKOFF_SECONDS,
     MAX_RETRIES,
     RECONNECTED_IDLE_TIMEOUT_SECONDS,
+    REPLACEABLE_IDLE_TIMEOUT_SECONDS,
     AttemptHistory,
 )
 
@@ -55,8 +56,21 @@
 def test_a_second_connection_gets_no_more_time_where_another_worker_is_allowed():
     history = AttemptHistory(max_workers=2)
     history.record_sent("a")
+    assert not history.prefers_other_worker
     history.record_idle_timeout()
-    assert history.idle_timeout == IDLE_TIMEOUT_SECONDS
+    assert history.idle_timeout <= IDLE_TIMEOUT_SECONDS and not history.prefers_other_worker
+    history.record_idle_timeout()
+    assert history.prefers_other_worker
+    history.record_sent("b")
+    assert not history.prefers_other_worker
+
+
+# Guards against streams that are sent again while a sound worker pauses, and against callers that
+# leave before the second connection has had its time.
+def test_a_pause_of_a_second_is_no_reason_to_send_a_stream_again():
+    assert IDLE_TIMEOUT_SECONDS > 1.2
+    assert IDLE_TIMEOUT_SECONDS + REPLACEABLE_IDLE_TIMEOUT_SECONDS < 2.0
+    assert IDLE_TIMEOUT_SECONDS + RECONNECTED_IDLE_TIMEOUT_SECONDS < 3.0
 
 
 # Guards against closing a connection although the request cannot be retried (soak check LOST).
