A late connection is no proof that a worker has ended

What callers saw: nothing at once; a request ran on more workers than its route allows (BUDGET).

A worker that is late goes on working.

Fix: only what shows that the process has ended, or that nobody reaches it, makes room for another worker: a connection that is refused, or entries of two failure domains that cannot reach it. Otherwise the failed connection counts as one more retry at that worker. One entry alone that cannot reach it no longer counts as two.

Not shown on processes: the connection of the loopback address is hardly ever late.

--- a/egretford/entry/dialing.py
+++ b/egretford/entry/dialing.py
@@ -13,6 +13,7 @@
 from egretford.http.client import (
     ClientConnection,
     ConnectError,
+    ConnectionRefusedByPeerError,
     TargetUnreachableError,
     TunnelsExhaustedError,
 )
@@ -120,14 +121,20 @@
     async def _await_first(
         self, attempts: list[asyncio.Future[ClientConnection]]
     ) -> ClientConnection:
-        """Return the connection that opens first; raises the error of the first attempt."""
+        """Return the connection that opens first.
+
+        Raises the error of the first attempt, or that of another one which shows that entries of
+        two failure domains cannot reach the worker either.
+        """
         pending = set(attempts)
         while pending:
             _, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
             for attempt in attempts:
                 if _has_succeeded(attempt):
                     return attempt.result()
-        return attempts[0].result()
+        errors = [attempt.exception() for attempt in attempts]
+        certain = [error for error in errors if shows_end(error)]
+        raise certain[0] if certain else errors[0]
 
     async def _open_direct(self, address: str) -> ClientConnection:
         return await ClientConnection.open(address, CONNECT_TIMEOUT_SECONDS)
@@ -162,7 +169,7 @@
                 failed_domains.add(peer.failure_domain)
                 if len(failed_domains) > 1:
                     raise
-                error = failure
+                error = ConnectError(str(failure))
             except TunnelsExhaustedError as failure:
                 self._metrics.count("tunnels.refused")
                 error = failure
@@ -231,6 +238,11 @@
         return True
 
 
+def shows_end(error: ConnectError) -> bool:
+    """Whether a failed connection shows that the worker has ended or is cut off for all."""
+    return isinstance(error, ConnectionRefusedByPeerError | TargetUnreachableError)
+
+
 def _has_succeeded(attempt: asyncio.Future[ClientConnection]) -> bool:
     return attempt.done() and not attempt.cancelled() and attempt.exception() is None
 
--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -9,6 +9,7 @@
 
 from egretford.clock import Clock
 from egretford.entry.choice import choose_worker
+from egretford.entry.dialing import shows_end
 from egretford.entry.jobs import ForwardingJob
 from egretford.entry.models import RouteKind, WorkerReply
 from egretford.entry.relay import MAX_ANSWER_BYTES, ResponseRelay, get_read_timeout
@@ -254,6 +255,10 @@
         try:
             connection = await self._workers.connect(tracked, max_idle)
         except ConnectError as error:
+            if tracked.worker.id in job.history.sends_by_worker and not shows_end(error):
+                # It may still be running an earlier attempt, so it counts as one more retry.
+                job.history.record_sent(tracked.worker.id)
+                raise UpstreamLostError(str(error), crashed=False) from error
             self._workers.record_failure(tracked, str(error))
             raise UpstreamUnreachableError(str(error)) from error
         try:
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -41,6 +41,10 @@
     """The connection could not be opened, so nothing was sent."""
 
 
+class ConnectionRefusedByPeerError(ConnectError):
+    """Nothing listens at the address, so the process that did has ended."""
+
+
 class TargetUnreachableError(ConnectError):
     """A tunnel server could not connect to the target either."""
 
@@ -125,6 +129,8 @@
         try:
             async with ReplyTimeout(timeout):
                 _, connection = await loop.create_connection(lambda: cls(address), host, int(port))
+        except ConnectionRefusedError as error:
+            raise ConnectionRefusedByPeerError(f"{address}: {error!r}") from error
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise ConnectError(f"{address}: {error!r}") from error
         return connection
