Crashes are known to keepers and entries that were restarted, and a success to all

What callers saw: workers that go down again and again.

Cause: an entry sent each crash once, to the keepers that answered then, and keepers hold it in memory only. A keeper that was restarted, replaced or silent at that moment never learnt of it, and the entry whose nearest it is neither. A worker that starts again under its id counted as the same one, so its second crash was none. A success cleared the table of one entry, which the next exchange filled again; crashes got younger with each entry that heard of them.

Fix: reports carry the age of a crash, so merging is the same in any order, and successes are reported too. An entry that starts asks all keepers; a keeper whose reply lacks what the entry knows gets all of it at the next exchange. A crash names the process, by its id and start time. Keepers of the version before refuse the new message and get the old one; entries of the version before are answered as they were.

Tests: tests/policy/test_crashes.py (any order of reports, by a property), tests/platform/test_keeper_outages.py.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -8,9 +8,10 @@
 from egretford.clock import Clock
 from egretford.controllers.loops import TaskGroup, run_every
 from egretford.entry.keepers import KeeperClient
-from egretford.errors import EgretfordError
-from egretford.keeper.messages import CrashList, ShareCrashes
-from egretford.policy.crashes import Crash, CrashTable
+from egretford.errors import EgretfordError, PeerUnreachableError, RequestError
+from egretford.keeper.messages import CrashList, CrashReports, ReportCrashes, ShareCrashes
+from egretford.policy.crashes import Crash, CrashReport, CrashTable
+from egretford.policy.views import Member
 
 # Interval of the exchange with the keepers, in seconds.
 SHARE_INTERVAL_SECONDS = 1.0
@@ -24,7 +25,11 @@
         self._clock = clock
         self._log = log
         self._table = CrashTable()
-        self._unsent: list[Crash] = []
+        # Fingerprints with observations that no keeper has, and the disks of keepers that lack
+        # something.
+        self._unsent: set[str] = set()
+        self._behind: set[str] = set()
+        self._has_asked_all = False
         self._tasks = TaskGroup()
 
     async def start(self) -> None:
@@ -38,32 +43,83 @@
     def add(self, crash: Crash) -> None:
         """Record a crash that this entry observed; it is sent at the next exchange if new."""
         if self._table.add(crash, self._clock.monotonic()):
-            self._unsent.append(crash)
+            self._unsent.add(crash.fingerprint)
 
     def record_success(self, fingerprint: str) -> None:
         """Clear the crashes of a fingerprint after a worker completed such a request."""
-        self._table.record_success(fingerprint)
+        if self._table.record_success(fingerprint, self._clock.monotonic()):
+            self._unsent.add(fingerprint)
 
     def blocks(self, fingerprint: str) -> bool:
         """Whether requests with this fingerprint are quarantined."""
         return self._table.blocks(fingerprint, self._clock.monotonic())
 
     async def _share(self) -> None:
-        """Send new crashes to all keepers, or only fetch others' crashes from the nearest.
+        """Send new observations to all keepers, or only fetch those of others from the nearest.
 
-        Crashes that no keeper received are sent again the next time.
+        The first exchange is with all keepers, as the nearest may have been restarted. A keeper
+        that lacks what is known here gets all of it. What no keeper received is sent again.
         """
-        new_crashes, self._unsent = tuple(self._unsent), []
-        targets = self._keepers.list_available() if new_crashes else self._keepers.list_probed()
-        message = ShareCrashes(new_crashes)
-        requests = [self._keepers.send_request(member, message) for member in targets]
+        unsent, self._unsent = self._unsent, set()
+        asks_all = bool(unsent) or not self._has_asked_all
+        targets = self._keepers.list_available() if asks_all else self._keepers.list_probed()
+        requests = [self._exchange(member, unsent) for member in targets]
         outcomes = await asyncio.gather(*requests, return_exceptions=True)
-        lists = [reply for reply in outcomes if isinstance(reply, CrashList)]
-        if not lists:
-            self._unsent = [*new_crashes, *self._unsent]
-        for reply in lists:
-            self._table.merge(reply.crashes, self._clock.monotonic())
+        if any(outcome is None for outcome in outcomes):
+            self._has_asked_all = True
+        else:
+            self._unsent |= unsent
         for error in outcomes:
             # The keeper client logs the errors of requests.
             if isinstance(error, Exception) and not isinstance(error, EgretfordError):
                 raise error
+
+    async def _exchange(self, member: Member, unsent: set[str]) -> None:
+        """Send what a keeper lacks, and record what it knows; raises EgretfordError."""
+        sent = None if member.disk in self._behind else unsent
+        now = self._clock.monotonic()
+        known = self._list_known(now, None)
+        reply = await self._ask(member, self._list_known(now, sent))
+        self._table.merge_reports(reply.reports, reply.clearances, self._clock.monotonic())
+        if _lacks(reply, known):
+            self._behind.add(member.disk)
+        else:
+            self._behind.discard(member.disk)
+
+    def _list_known(self, now: float, fingerprints: set[str] | None) -> ReportCrashes:
+        """Return what is known of some fingerprints, or of all."""
+        return ReportCrashes(
+            tuple(
+                report
+                for report in self._table.list_reports(now)
+                if fingerprints is None or report.crash.fingerprint in fingerprints
+            ),
+            tuple(
+                clearance
+                for clearance in self._table.list_clearances(now)
+                if fingerprints is None or clearance.fingerprint in fingerprints
+            ),
+        )
+
+    async def _ask(self, member: Member, message: ReportCrashes) -> CrashReports:
+        try:
+            reply = await self._keepers.send_request(member, message)
+        except RequestError:
+            # A keeper of an earlier version, which knows neither ages nor successes.
+            crashes = tuple(report.crash for report in message.reports)
+            reply = await self._keepers.send_request(member, ShareCrashes(crashes))
+        if isinstance(reply, CrashList):
+            return CrashReports(tuple(CrashReport(crash, 0.0) for crash in reply.crashes), ())
+        if not isinstance(reply, CrashReports):
+            raise PeerUnreachableError(f"{member.name}: {type(reply).__name__}")
+        return reply
+
+
+def _lacks(reply: CrashReports, known: ReportCrashes) -> bool:
+    """Whether a keeper's reply lacks anything that was known here before."""
+    cleared = {clearance.fingerprint for clearance in reply.clearances}
+    crashes = {report.crash for report in reply.reports}
+    return any(c.fingerprint not in cleared for c in known.clearances) or any(
+        report.crash not in crashes and report.crash.fingerprint not in cleared
+        for report in known.reports
+    )
--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -197,7 +197,7 @@
         worker = tracked.worker.id
         job.lost_attempts += 1
         if error.crashed and job.on_crash is not None:
-            job.on_crash(worker)
+            job.on_crash(tracked.worker.process_id)
         if not error.tunnelled:
             self._workers.record_failure(tracked, str(error))
         self._log.info(
--- a/egretford/entry/models.py
+++ b/egretford/entry/models.py
@@ -97,6 +97,11 @@
     born: int = 0
     software_version: str = ""
 
+    @property
+    def process_id(self) -> str:
+        """The id with the start time, if known: differs for each process."""
+        return f"{self.id}/{self.born}" if self.born else self.id
+
     @property
     def name(self) -> str:
         """The id, under the attribute name that placement code expects."""
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -8,7 +8,7 @@
 
 from egretford.codec import omit_defaults, register_union
 from egretford.models import ErrorReply
-from egretford.policy.crashes import Crash
+from egretford.policy.crashes import Clearance, Crash, CrashReport
 from egretford.policy.detours import PeerEntry
 from egretford.policy.ledger import Charge, StreamOrigin
 from egretford.policy.views import View
@@ -214,6 +214,23 @@
     crashes: tuple[Crash, ...]
 
 
+@frozen
+class ReportCrashes:
+    """Reports crashes, and requests that ran to their end after others like them had crashed."""
+
+    reports: tuple[CrashReport, ...]
+    clearances: tuple[Clearance, ...]
+    view: int = field(default=0, kw_only=True)
+
+
+@frozen
+class CrashReports:
+    """All that the keeper knows of crashes; kept in memory only, so empty after a restart."""
+
+    reports: tuple[CrashReport, ...]
+    clearances: tuple[Clearance, ...]
+
+
 @frozen
 class AnnounceEntry:
     """Says that an entry runs; the reply lists the entries known to the keeper if `with_list`."""
@@ -300,6 +317,7 @@
     | FetchTurns
     | ListRenewals
     | ShareCrashes
+    | ReportCrashes
     | AnnounceEntry
     | WatchObjects
 )
@@ -310,6 +328,7 @@
     | TurnPage
     | RenewalPage
     | CrashList
+    | CrashReports
     | EntryList
     | RelayedChanges
     | OutdatedView
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -12,11 +12,11 @@
 
 from egretford.clock import Clock
 from egretford.codec import decode_bytes, encode_bytes
+from egretford.keeper.crash_reports import exchange_crashes
 from egretford.keeper.log import DiskError, write_file_durably
 from egretford.keeper.messages import (
     AdoptView,
     AnnounceEntry,
-    CrashList,
     EntryList,
     FetchTurns,
     Keep,
@@ -30,6 +30,7 @@
     ProgramCharges,
     RecordPage,
     RenewalPage,
+    ReportCrashes,
     Reserve,
     Reserved,
     ShareCrashes,
@@ -211,10 +212,8 @@
                 return self._list_renewals(message)
             case FetchTurns():
                 return TurnPage(tuple(self._records.find_turns(message.ids)), self._disk)
-            case ShareCrashes():
-                now = self._clock.monotonic()
-                self._crashes.merge(message.seen, now)
-                return CrashList(self._crashes.list_recent(now))
+            case ShareCrashes() | ReportCrashes():
+                return exchange_crashes(self._crashes, message, self._clock.monotonic())
             case AnnounceEntry():
                 now = self._clock.monotonic()
                 self._entries.add(message.entry, now)
--- a/tests/platform/test_keeper_outages.py
+++ b/tests/platform/test_keeper_outages.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from egretford.keeper.messages import ReportCrashes
+from egretford.keeper.service import KeeperService
 from egretford.policy.crashes import Crash
 from tests.platform.deployment import run_deployment
 from tests.platform.test_serving import ask_turn
@@ -101,3 +103,49 @@
     for name in names:
         await deployment.start_keeper(name)
     await deployment.wait_until(lambda: second._crashes.blocks("fingerprint"), seconds=8.0)
+
+
+def block_everywhere(deployment):
+    """Let the first entry see three crashes; returns once both entries block the request."""
+    for worker in ("w1", "w2", "w3"):
+        deployment.entries[0]._crashes.add(Crash("fingerprint", worker))
+    return deployment.wait_until(
+        lambda: all(entry._crashes.blocks("fingerprint") for entry in deployment.entries)
+    )
+
+
+# Guards against requests that crash workers again and again: keepers that were restarted in turn
+# know nothing of the crashes before, and neither does an entry that starts after that.
+async def test_a_new_entry_learns_of_crashes_from_before_all_keepers_were_restarted(deployment):
+    await block_everywhere(deployment)
+    for name in list(deployment.keepers):
+        await deployment.stop_keeper(name)
+        await deployment.start_keeper(name)
+        await deployment.wait_until(lambda: deployment.count_ready() == 3)
+        await asyncio.sleep(1.5)
+    started = await deployment.start_entry("entry-3", "south-a")
+    await deployment.wait_until(lambda: started._crashes.blocks("fingerprint"), seconds=4.0)
+
+
+# Guards against requests that stay blocked at other entries once a worker has run one.
+async def test_a_success_at_one_entry_ends_the_block_at_all(deployment):
+    await block_everywhere(deployment)
+    first, second = deployment.entries
+    first._crashes.record_success("fingerprint")
+    await deployment.wait_until(lambda: not second._crashes.blocks("fingerprint"), seconds=4.0)
+    await asyncio.sleep(2.5)
+    assert not any(entry._crashes.blocks("fingerprint") for entry in deployment.entries)
+
+
+# Guards against an upgrade during which crashes are not shared: keepers of the version before
+# refuse the newer request.
+async def test_crashes_are_shared_through_keepers_of_an_earlier_version(deployment, monkeypatch):
+    answer = KeeperService.answer
+
+    async def refuse_newer(service, message):
+        if isinstance(message, ReportCrashes):
+            raise TypeError("unknown message")
+        return await answer(service, message)
+
+    monkeypatch.setattr(KeeperService, "answer", refuse_newer)
+    await block_everywhere(deployment)
--- a/tests/policy/test_crashes.py
+++ b/tests/policy/test_crashes.py
@@ -1,6 +1,16 @@
 """Requests that crash several workers are blocked."""
 
-from egretford.policy.crashes import CRASH_RETENTION_SECONDS, Crash, CrashTable, make_fingerprint
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretford.policy.crashes import (
+    CRASH_RETENTION_SECONDS,
+    Clearance,
+    Crash,
+    CrashReport,
+    CrashTable,
+    make_fingerprint,
+)
 
 FINGERPRINT = make_fingerprint(b"/a", "10.0.0.1", b"body")
 
@@ -24,7 +34,7 @@
     add_crashes(table, "w1", "w2", "w3")
     assert not table.blocks(FINGERPRINT, CRASH_RETENTION_SECONDS + 1)
     add_crashes(table, "w1", "w2", "w3")
-    table.record_success(FINGERPRINT)
+    table.record_success(FINGERPRINT, 0.5)
     assert not table.blocks(FINGERPRINT, 1.0)
 
 
@@ -34,3 +44,56 @@
     add_crashes(other, "w2", "w3")
     table.merge(other.list_recent(0.0), 0.0)
     assert table.blocks(FINGERPRINT, 0.0)
+
+
+def report(worker, age):
+    return CrashReport(Crash(FINGERPRINT, worker), age)
+
+
+# Guards against blocks that entries and keepers renew for each other for ever.
+def test_reports_that_go_round_do_not_make_a_crash_younger():
+    table, other = CrashTable(), CrashTable()
+    add_crashes(table, "w1", "w2", "w3")
+    for now in range(0, 200, 10):
+        other.merge_reports(table.list_reports(now), table.list_clearances(now), now)
+        table.merge_reports(other.list_reports(now), other.list_clearances(now), now)
+    assert not other.list_reports(200.0) and not table.list_reports(200.0)
+
+
+# Guards against requests that stay blocked at other entries after a worker has run one.
+def test_a_success_clears_what_others_reported_before_it():
+    table, other = CrashTable(), CrashTable()
+    for each in (table, other):
+        add_crashes(each, "w1", "w2", "w3")
+    assert table.record_success(FINGERPRINT, 5.0)
+    other.merge_reports(table.list_reports(6.0), table.list_clearances(6.0), 6.0)
+    assert not other.blocks(FINGERPRINT, 6.0)
+    # A keeper that does not know of the success yet.
+    other.merge_reports([report("w1", 6.0), report("w2", 6.0), report("w3", 6.0)], (), 6.0)
+    assert not other.blocks(FINGERPRINT, 6.0)
+    # Crashes after it count.
+    other.merge_reports([report("w1", 0.0), report("w4", 0.0), report("w5", 0.0)], (), 7.0)
+    assert other.blocks(FINGERPRINT, 7.0)
+
+
+# A process crashes once, so all reports of it have the same time.
+AGES = {"w1": 30.0, "w2": 50.0, "w3": 70.0}
+ITEMS = st.one_of(
+    st.sampled_from([report(worker, age) for worker, age in AGES.items()]),
+    st.builds(Clearance, st.just(FINGERPRINT), st.floats(0.0, 100.0)),
+)
+
+
+# Guards against entries that disagree on a block for good, as reports reached them in other orders.
+@given(st.lists(ITEMS, max_size=8), st.randoms())
+def test_reports_may_arrive_in_any_order(items, rng):
+    def merge(order):
+        table = CrashTable()
+        for item in order:
+            is_report = isinstance(item, CrashReport)
+            table.merge_reports([item] * is_report, [item] * (not is_report), 100.0)
+        return {(r.crash.worker, r.age) for r in table.list_reports(100.0)}
+
+    shuffled = list(items)
+    rng.shuffle(shuffled)
+    assert merge(items) == merge(shuffled)
