An entry that has just started does not guess where a stream began

What callers saw: pieces of two software versions in one stream (ORDER).

Cause: a stream begins without a record of its version if the keepers take over 0.5 s, as on machines where everything is late, and a record that cannot be read in 0.5 s counts as none. An entry that knows one version only then takes that one. That holds for an entry that has known the worker list since before the stream began. One that was started meanwhile knows nothing of the workers that were replaced before.

Fix: without a record, an entry takes the only version that it knows once it has known the worker list for longer than a stream lasts on the route, and a second more. Before, the attempt is refused as not run, with a Retry-After.

Evidence: tests/platform/test_software_versions.py, test_an_entry_that_has_just_started_does_not_guess_where_a_stream_began: without the condition the stream goes on at v2 (red), with it 503. Two tests that expect the only version to be taken wait until the entry has known it for long enough; what they expect is unchanged.

--- a/egretford/entry/origins.py
+++ b/egretford/entry/origins.py
@@ -24,6 +24,10 @@
 WRITE_TIMEOUT_SECONDS = 0.5
 
 
+# Time after a stream has broken off within which its caller resumes it, in seconds.
+BREAK_SECONDS = 1.0
+
+
 class StreamOrigins:
     """Reads and writes the records of streams' origins through the keepers."""
 
@@ -43,7 +47,9 @@
         origin = await self._read(request.resumed_request) if request.resumed_request else None
         versions = self._workers.list_known_versions(upstream)
         recorded = origin is not None
-        if origin is None and len(versions) == 1:
+        known_seconds = self._workers.measure_known_seconds()
+        may_be_older = known_seconds < route.timeout + BREAK_SECONDS
+        if origin is None and len(versions) == 1 and not may_be_older:
             # Whichever worker began it, it was of this version.
             origin = StreamOrigin(0, upstream, *versions)
             if request.resumed_request:
@@ -59,6 +65,7 @@
             upstream=origin.upstream if origin else None,
             version=origin.version if origin else None,
             known_versions=sorted(versions),
+            known_s=round(known_seconds, 2),
         )
         if not allowed:
             raise RequestError(ErrorKind.OVERLOADED, "it is not known where the stream began")
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -85,6 +85,7 @@
         self._known_versions: dict[str, set[str]] = {}
         self._table: RoutingTable | None = None
         self.listed_at: float | None = None
+        self.first_listed_at: float | None = None
 
     def apply_configuration(self, table: RoutingTable) -> None:
         """Adopt the upstreams of a configuration and their prompt cache sizes."""
@@ -103,6 +104,8 @@
             if worker_id not in listed:
                 self.schedule_removal(worker_id)
         self.listed_at = self._clock.monotonic()
+        if self.first_listed_at is None:
+            self.first_listed_at = self.listed_at
 
     def update_worker(self, worker: Worker) -> None:
         """Add or update a worker; a restart under the same id resets its state."""
@@ -172,6 +175,12 @@
         """Return the newest process under the id of a worker; itself if it was removed."""
         return self._workers.get(tracked.worker.id, tracked)
 
+    def measure_known_seconds(self) -> float:
+        """Return for how long this entry has known the worker list."""
+        if self.first_listed_at is None:
+            return 0.0
+        return self._clock.monotonic() - self.first_listed_at
+
     def list_known_versions(self, upstream: str) -> set[str]:
         """Return the software versions of all workers of an upstream since this entry started."""
         return self._known_versions.get(upstream, set())
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -219,9 +219,30 @@
     assert not deployment.arrivals("q1")
 
 
+async def wait_until_streams_are_younger(deployment):
+    """Wait until the entries know the worker list for longer than any stream lasts."""
+    await deployment.wait_until(
+        lambda: all(entry.workers.measure_known_seconds() > 4.0 for entry in deployment.entries)
+    )
+
+
+# Guards against pieces of two versions in a stream: the entry that resumes it started after the
+# last worker of the version that began it was replaced, and takes the one that it knows.
+async def test_an_entry_that_has_just_started_does_not_guess_where_a_stream_began(tmp_path):
+    async with run_deployment(tmp_path) as deployment:
+        for worker in deployment.workers[:2]:
+            await set_version(deployment, worker, "v2")
+        await deployment.start_entry("entry-3", "south-a")
+        await deployment.wait_until(lambda: deployment.entries[-1].is_ready)
+        answer = await resume(deployment.callers[-1], "q1", "unknown")
+        assert answer.status == 503 and answer.headers.get(b"Retry-After") is not None
+        assert not deployment.arrivals("q1")
+
+
 # Guards against a stream that is refused although it can only have begun at the one version.
 async def test_a_resumption_of_an_unknown_stream_goes_on_at_the_only_version(tmp_path):
     async with run_deployment(tmp_path) as deployment:
+        await wait_until_streams_are_younger(deployment)
         answer = await resume(deployment.callers[0], "q1", "unknown")
         assert (answer.status, answer.body) == (200, REST)
 
@@ -276,6 +297,7 @@
 async def test_an_assumed_version_is_recorded_for_later_attempts(tmp_path):
     async with run_deployment(tmp_path) as deployment:
         first, second = deployment.worker("m-1"), deployment.worker("m-2")
+        await wait_until_streams_are_younger(deployment)
         assert (await resume(deployment.callers[0], "q1", "unknown")).status == 200
         await set_version(deployment, second, "v2")
         for number in range(4):
