A lost answer of a worker that goes on is no crash

Cause: any connection that broke counted as a crash of the worker, and a turn's fingerprint was its target, its caller's address and its new input alone, though what a worker gets is the history and the input.

Fix: before an entry counts a crash it asks the worker's process when it started, 0.3 s later; one that started when the list says has not crashed. A process that cannot be reached, answers otherwise or has no known start counts as before, so a request that does crash its workers passes no more often. On routes that keep turns, the fingerprint has the program and the turn before.

The stand-in of test_a_request_that_crashes_workers_is_stopped_at_every_entry now starts again as another process, as a crash does; what it expects is unchanged.

Left: a block lets no trial through before its 120 s are over; workers whose list entry has no start time, or that do not answer /v1/report, are counted as crashed as before.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from egretford.clock import Clock
@@ -15,6 +16,8 @@
 
 # Interval of the exchange with the keepers, in seconds.
 SHARE_INTERVAL_SECONDS = 1.0
+# Time in which a process that broke a connection ends, if it does, in seconds.
+CHECK_DELAY_SECONDS = 0.3
 
 
 class SharedCrashes:
@@ -45,6 +48,18 @@
         if self._table.add(crash, self._clock.monotonic()):
             self._unsent.add(crash.fingerprint)
 
+    def check(self, crash: Crash, is_running: Callable[[], Awaitable[bool]]) -> None:
+        """Record a crash unless the worker turns out to be running; does not wait for that."""
+        self._tasks.spawn(self._check(crash, is_running))
+
+    async def _check(self, crash: Crash, is_running: Callable[[], Awaitable[bool]]) -> None:
+        await self._clock.sleep(CHECK_DELAY_SECONDS)
+        if await is_running():
+            self._log.info("a worker lost an answer, but has not crashed", worker=crash.worker)
+            return
+        self._log.info("a worker crashed", worker=crash.worker, fingerprint=crash.fingerprint)
+        self.add(crash)
+
     def record_success(self, fingerprint: str) -> None:
         """Clear the crashes of a fingerprint after a worker completed such a request."""
         if self._table.record_success(fingerprint, self._clock.monotonic()):
--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -197,7 +197,7 @@
         worker = tracked.worker.id
         job.lost_attempts += 1
         if error.crashed and job.on_crash is not None:
-            job.on_crash(tracked.worker.process_id)
+            job.on_crash(tracked)
         if not error.tunnelled:
             self._workers.record_failure(tracked, str(error))
         self._log.info(
@@ -313,10 +313,8 @@
         if not expected:
             return
         worker = tracked.worker.id
-        connection.send(encode_state_request(tracked.worker))
         try:
-            async with ReplyTimeout(STATE_TIMEOUT_SECONDS):
-                born = decode_start_time(*await read_response(connection, MAX_STATE_BYTES))
+            born = await self._read_start_time(tracked, connection)
         except (BrokenResponseError, TimeoutError) as error:
             if worker in job.history.sends_by_worker:
                 # It may still be running an earlier attempt, so it counts as one more retry.
@@ -338,6 +336,28 @@
             self._workers.record_failure(tracked, "another process has its id")
             raise UpstreamUnreachableError("another process has the worker's id")
 
+    async def _read_start_time(
+        self, tracked: TrackedWorker, connection: ClientConnection
+    ) -> int | None:
+        connection.send(encode_state_request(tracked.worker))
+        async with ReplyTimeout(STATE_TIMEOUT_SECONDS):
+            return decode_start_time(*await read_response(connection, MAX_STATE_BYTES))
+
+    async def is_running(self, tracked: TrackedWorker) -> bool:
+        """Whether a worker's process proves that it has not ended, by the time of its start."""
+        if not tracked.worker.born:
+            return False
+        try:
+            connection = await self._workers.connect(tracked, 0.0)
+        except ConnectError:
+            return False
+        try:
+            return await self._read_start_time(tracked, connection) == tracked.worker.born
+        except (BrokenResponseError, TimeoutError):
+            return False
+        finally:
+            connection.close()
+
     def _get_resume_point(self, job: ForwardingJob) -> str | None:
         if job.last_event_number is not None:
             return str(job.last_event_number)
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -154,7 +154,10 @@
                 "this instance stops before the request is sure to have ended",
                 retry_after_seconds=self._rng.uniform(*STOPPING_RETRY_SECONDS),
             )
-        fingerprint = make_fingerprint(request.http.target, request.http.peer, request.http.body)
+        history = f"{request.program} {request.previous_turn}" if route.keeps_turns else ""
+        fingerprint = make_fingerprint(
+            request.http.target, request.http.peer, request.http.body, history
+        )
         if self._crashes.blocks(fingerprint):
             raise RequestError(ErrorKind.QUARANTINED, "such a request crashed several workers")
         job = ForwardingJob(
@@ -164,7 +167,10 @@
             body=request.http.body,
             responder=responder,
             deadline=started + limit,
-            on_crash=lambda worker: self._crashes.add(Crash(fingerprint, worker)),
+            on_crash=lambda tracked: self._crashes.check(
+                Crash(fingerprint, tracked.worker.process_id),
+                lambda: self._forwarder.is_running(tracked),
+            ),
         )
         try:
             await self._forward(job)
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -40,7 +40,7 @@
     deadline: float
     stream: Stream | None = None
     before_end: Callable[[], Awaitable[None]] | None = None
-    on_crash: Callable[[str], None] | None = None
+    on_crash: Callable[[TrackedWorker], None] | None = None
     offers: int = 0
     refusals: int = 0
     lost_attempts: int = 0
--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -28,11 +28,17 @@
     worker: str
 
 
-def make_fingerprint(target: bytes, caller: str, body: bytes) -> str:
-    """Return a fingerprint that is the same when a caller repeats a request."""
+def make_fingerprint(target: bytes, caller: str, body: bytes, history: str = "") -> str:
+    """Return a fingerprint that is the same when a caller repeats a request.
+
+    `history` names what a worker gets before the body, so that turns of different programs differ
+    whose new input is the same.
+    """
     digest = xxhash.xxh3_128(target)
     digest.update(caller.encode())
     digest.update(body)
+    if history:
+        digest.update(b"\0" + history.encode())
     return digest.hexdigest()
 
 
--- a/tests/platform/test_serving.py
+++ b/tests/platform/test_serving.py
@@ -8,7 +8,7 @@
 
 from egretford.exposition import render_metrics
 from tests.platform.deployment import make_configuration, run_deployment
-from tests.platform.standins import join_events, make_event
+from tests.platform.standins import WorkerStandin, join_events, make_event
 
 
 @pytest.fixture
@@ -337,8 +337,14 @@
     assert answer.status == 200
 
 
+async def ask_call(caller, request_id):
+    return await caller.ask("/book/1", body=b"the same", request_id=request_id)
+
+
 async def test_a_request_that_crashes_workers_is_stopped_at_every_entry(deployment):
     async def crash(worker, arrival, responder):
+        # The process that is there from now on is another one.
+        worker.born += 1
         responder.abort()
         return True
 
@@ -360,6 +366,38 @@
         assert not deployment.arrivals(f"again{number}")
 
 
+# Guards against turns that are refused at all entries, whatever their program, after three workers
+# that go on serving each lost an answer to a turn with the same new input.
+async def test_lost_answers_of_live_workers_block_no_request(deployment):
+    for upstream in ("models", "booking"):
+        worker = WorkerStandin(f"{upstream}-3", upstream, "north-a", engine=upstream == "models")
+        await worker.start()
+        deployment.workers.append(worker)
+        deployment.store.put("servers", worker.id, worker.describe())
+    lost = set()
+
+    async def lose_one_answer(worker, arrival, responder):
+        if worker.id in lost:
+            return False
+        lost.add(worker.id)
+        responder.abort()
+        return True
+
+    for worker in deployment.workers:
+        worker.script = lose_one_answer
+    for number in range(40):
+        await ask_turn(deployment.callers[0], b"go on", f"t{number}")
+        await ask_call(deployment.callers[0], f"c{number}")
+        await asyncio.sleep(0.1)
+        if len(lost) == len(deployment.workers):
+            break
+    assert len(lost) == 6
+    await asyncio.sleep(2.2)
+    for number, caller in enumerate(deployment.callers):
+        assert (await ask_turn(caller, b"go on", f"u{number}")).status == 200
+        assert (await ask_call(caller, f"v{number}")).status == 200
+
+
 async def test_a_stream_that_breaks_at_a_live_worker_runs_on_no_more_workers_than_its_route_allows(
     deployment,
 ):
--- a/tests/policy/test_crashes.py
+++ b/tests/policy/test_crashes.py
@@ -97,3 +97,10 @@
     shuffled = list(items)
     rng.shuffle(shuffled)
     assert merge(items) == merge(shuffled)
+
+
+# Guards against turns that are blocked as turns of other programs crashed workers, because people
+# often send the same new input.
+def test_turns_of_other_programs_or_after_other_turns_have_other_fingerprints():
+    turns = {make_fingerprint(b"/a", "c", b"go on", h) for h in ("p t1", "p t2", "q t1", "")}
+    assert len(turns) == 4
