Crashes reach keepers that did not answer when they were reported

Found by reading the diff: a crash that some keepers received counted as reported, so a keeper that was silent at that moment, and the entries whose nearest it is, learnt of it only from an entry that asks that keeper and knows it.

An entry now keeps in mind which keepers may lack something, and sends them all that it knows until they have replied with it. A keeper of the version before gets the earlier request for 10 s after it refused the present one, instead of an error in its log each second. A keeper that stood still gives the others time up to now, not beyond.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -18,6 +18,8 @@
 SHARE_INTERVAL_SECONDS = 1.0
 # Time in which a process that broke a connection ends, if it does, in seconds.
 CHECK_DELAY_SECONDS = 0.3
+# A keeper that refused the present request gets the earlier one for so many seconds.
+REFUSAL_BACKOFF_SECONDS = 10.0
 
 
 class SharedCrashes:
@@ -28,10 +30,12 @@
         self._clock = clock
         self._log = log
         self._table = CrashTable()
-        # Fingerprints with observations that no keeper has, and the disks of keepers that lack
-        # something.
+        # Fingerprints with observations that no keeper has.
         self._unsent: set[str] = set()
+        # Disks of keepers that may lack something that is known here.
         self._behind: set[str] = set()
+        # By disk of a keeper of an earlier version, until when it gets the earlier request.
+        self._refused_until: dict[str, float] = {}
         self._has_asked_all = False
         self._tasks = TaskGroup()
 
@@ -73,12 +77,20 @@
         """Send new observations to all keepers, or only fetch those of others from the nearest.
 
         The first exchange is with all keepers, as the nearest may have been restarted. A keeper
-        that lacks what is known here gets all of it. What no keeper received is sent again.
+        that lacks what is known here, or could not be told, gets all of it later. What no keeper
+        received is sent again.
         """
         unsent, self._unsent = self._unsent, set()
-        asks_all = bool(unsent) or not self._has_asked_all
-        targets = self._keepers.list_available() if asks_all else self._keepers.list_probed()
-        requests = [self._exchange(member, unsent) for member in targets]
+        active = {member.disk for member in self._keepers.view.active}
+        available = self._keepers.list_available()
+        if unsent or not self._has_asked_all:
+            targets = available
+            self._behind |= active
+        else:
+            probed = self._keepers.list_probed()
+            targets = [m for m in available if m in probed or m.disk in self._behind]
+        self._behind &= active
+        requests = [self._exchange(member) for member in targets]
         outcomes = await asyncio.gather(*requests, return_exceptions=True)
         if any(outcome is None for outcome in outcomes):
             self._has_asked_all = True
@@ -89,40 +101,31 @@
             if isinstance(error, Exception) and not isinstance(error, EgretfordError):
                 raise error
 
-    async def _exchange(self, member: Member, unsent: set[str]) -> None:
-        """Send what a keeper lacks, and record what it knows; raises EgretfordError."""
-        sent = None if member.disk in self._behind else unsent
-        now = self._clock.monotonic()
-        known = self._list_known(now, None)
-        reply = await self._ask(member, self._list_known(now, sent))
+    async def _exchange(self, member: Member) -> None:
+        """Send what a keeper may lack, and record what it knows; raises EgretfordError."""
+        known = self._list_known()
+        is_behind = member.disk in self._behind
+        reply = await self._ask(member, known if is_behind else ReportCrashes((), ()))
         self._table.merge_reports(reply.reports, reply.clearances, self._clock.monotonic())
         if _lacks(reply, known):
             self._behind.add(member.disk)
         else:
             self._behind.discard(member.disk)
 
-    def _list_known(self, now: float, fingerprints: set[str] | None) -> ReportCrashes:
-        """Return what is known of some fingerprints, or of all."""
-        return ReportCrashes(
-            tuple(
-                report
-                for report in self._table.list_reports(now)
-                if fingerprints is None or report.crash.fingerprint in fingerprints
-            ),
-            tuple(
-                clearance
-                for clearance in self._table.list_clearances(now)
-                if fingerprints is None or clearance.fingerprint in fingerprints
-            ),
-        )
+    def _list_known(self) -> ReportCrashes:
+        now = self._clock.monotonic()
+        return ReportCrashes(self._table.list_reports(now), self._table.list_clearances(now))
 
     async def _ask(self, member: Member, message: ReportCrashes) -> CrashReports:
+        # A keeper of an earlier version knows neither ages nor successes.
+        earlier = ShareCrashes(tuple(report.crash for report in message.reports))
+        now = self._clock.monotonic()
         try:
-            reply = await self._keepers.send_request(member, message)
+            is_earlier = now < self._refused_until.get(member.disk, 0.0)
+            reply = await self._keepers.send_request(member, earlier if is_earlier else message)
         except RequestError:
-            # A keeper of an earlier version, which knows neither ages nor successes.
-            crashes = tuple(report.crash for report in message.reports)
-            reply = await self._keepers.send_request(member, ShareCrashes(crashes))
+            self._refused_until[member.disk] = now + REFUSAL_BACKOFF_SECONDS
+            reply = await self._keepers.send_request(member, earlier)
         if isinstance(reply, CrashList):
             return CrashReports(tuple(CrashReport(crash, 0.0) for crash in reply.crashes), ())
         if not isinstance(reply, CrashReports):
--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -208,8 +208,9 @@
 
     def extend_reply_time(self, seconds: float) -> None:
         """Give all other keepers more time to reply, as this one did not read their replies."""
+        now = self._clock.monotonic()
         for source in self.sources.values():
-            source.last_reply_at += seconds
+            source.last_reply_at = min(now, source.last_reply_at + seconds)
 
     def _is_current(self, source: Source) -> bool:
         return self.sources.get(source.member.disk) is source
