Soak: what a cut held up got no more time

The entry's log shows the order of sending: the first attempt to booking-new-1 with 2,999 ms, no head within 0.3 s, the second to booking-3 with 2,698 ms. The soak's cut of booking-new-1 held the first one up, so that it arrived 0.5 s after the second. The new test shows the check red without the cut and green with it.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -212,6 +212,21 @@
     assert bool(list(checks.check_time_left(make_run_load(make_attempt()), arrivals))) is red
 
 
+# Guards against a request that a cut held up, whose second attempt arrives first, being taken for
+# one that got more time (soak seed 301).
+def test_the_check_of_time_left_leaves_out_what_a_cut_held_up():
+    arrivals = make_arrivals(b"", b"")
+    for arrival, worker, at, ms in zip(
+        arrivals["r1"], ("w1", "w2"), (10.31, 10.9), (b"2698", b"2999"), strict=True
+    ):
+        arrival.worker, arrival.headers = worker, Headers([(b"Deadline-Ms", ms)])
+        arrival.http = HttpRequest(b"POST", b"/", arrival.headers, b"", True, at)
+    attempt = make_attempt("ping", sent_at=10.0, ended_at=10.4)
+    assert list(checks.check_time_left(make_run_load(attempt), arrivals))
+    cut = make_run_load(attempt, disruptions=[Disruption("w2", 9.5, 10.8)])
+    assert not list(checks.check_time_left(cut, arrivals))
+
+
 # Guards against a soak that overlooks requests that go on crashing workers.
 @pytest.mark.parametrize(("retries", "red"), [(3, False), (4, True)])
 def test_the_check_of_crashing_requests_goes_red(retries, red):
