A stream begins only at a process whose version is known

What callers saw: one stream with pieces of two software versions (ORDER).

Cause: a worker had started again under its id with another version (started at 1002), which the list did not say yet (1000, v1). The entry had no failure of it, so it sent the stream without asking, and recorded v1; the process was v2. The stream broke after its first event, the process was asked then (expected=1000 born=1002), and the stream went on at another worker of v1.

Fix: before a connection carries its first stream that may be resumed, the process at its other end is asked when it started, as before resumptions and after failures. A connection can't change its process, so once is enough. A worker that does not answer that within 0.3 s is trusted at the beginning of a stream, as before. What is left of the caller's time is computed after the question. The questions moved to a module of their own (entry/processes.py).

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -12,6 +12,7 @@
 from egretford.entry.dialing import shows_end
 from egretford.entry.jobs import ForwardingJob
 from egretford.entry.models import RouteKind, WorkerReply
+from egretford.entry.processes import WorkerProcesses
 from egretford.entry.relay import MAX_ANSWER_BYTES, ResponseRelay, get_read_timeout
 from egretford.entry.workers import TrackedWorker, WorkerTable
 from egretford.errors import (
@@ -26,13 +27,10 @@
     ConnectError,
     ResponseTooLargeError,
     read_body,
-    read_response,
 )
 from egretford.platform.wire import (
     decode_reply,
-    decode_start_time,
     encode_request,
-    encode_state_request,
 )
 from egretford.policy.placement import Placement
 from egretford.timeouts import ReplyTimeout
@@ -45,10 +43,6 @@
 MAX_REFUSALS = 4
 # Least time before the deadline, in seconds, that leaves a worker a chance to answer.
 MIN_ATTEMPT_SECONDS = 0.02
-# Timeout, in seconds, and size limit, in bytes, of a worker's report of its state, which takes one
-# round trip.
-STATE_TIMEOUT_SECONDS = 0.3
-MAX_STATE_BYTES = 65_536
 # Number of responses to earlier requests that are skipped on one connection. Connections are
 # reused only after all their responses were read, so even one is rare.
 MAX_STALE_RESPONSES = 8
@@ -65,8 +59,13 @@
         self._region = region
         self._clock = clock
         self._log = log
+        self._processes = WorkerProcesses(workers, log)
         self._relay = ResponseRelay(self._list_candidates, clock, log)
 
+    async def is_running(self, tracked: TrackedWorker) -> bool:
+        """Whether a worker's process proves that it has not ended."""
+        return await self._processes.is_running(tracked)
+
     async def run(self, job: ForwardingJob) -> None:
         """Relay a worker's response to the caller.
 
@@ -267,8 +266,11 @@
                 raise job.refuse(ErrorKind.TIMEOUT, "no time is left to run the request")
             if job.stream is not None:
                 if job.stream.is_fixed or tracked.failures:
-                    await self._check_process(job, tracked, connection)
+                    await self._processes.check(job, tracked, connection)
+                elif not connection.is_process_known:
+                    connection = await self._processes.identify(job, tracked, connection)
                 job.stream.begin(tracked.worker)
+                seconds_left = job.deadline - self._clock.monotonic()
             resume_after = self._get_resume_point(job)
             connection.send(
                 encode_request(job.request, tracked.worker, seconds_left, job.body, resume_after)
@@ -300,64 +302,6 @@
             raise
         self._workers.release_connection(tracked, connection)
 
-    async def _check_process(
-        self, job: ForwardingJob, tracked: TrackedWorker, connection: ClientConnection
-    ) -> None:
-        """Check that the process at a connection is the one that the worker list describes.
-
-        A worker that started again under its id may have another software version, and the list
-        may not say so yet. Raises UpstreamUnreachableError if it is another process, and
-        UpstreamLostError or UpstreamRefusedError if the worker does not answer.
-        """
-        expected = tracked.worker.born
-        if not expected:
-            return
-        worker = tracked.worker.id
-        try:
-            born = await self._read_start_time(tracked, connection)
-        except (BrokenResponseError, TimeoutError) as error:
-            if worker in job.history.sends_by_worker:
-                # It may still be running an earlier attempt, so it counts as one more retry.
-                job.history.record_sent(worker)
-                raise UpstreamLostError(f"no state: {error!r}", crashed=False) from error
-            self._workers.record_failure(tracked, f"no state: {error!r}")
-            raise UpstreamRefusedError("the worker does not report its state") from error
-        connection.finish(self._clock.monotonic())
-        self._log.info(
-            "checked the process of a worker",
-            request=job.request.id,
-            worker=worker,
-            expected=expected,
-            born=born,
-        )
-        if not connection.is_usable(self._clock.monotonic()):
-            raise UpstreamRefusedError("the worker closed the connection after its state")
-        if born is not None and born != expected:
-            self._workers.record_failure(tracked, "another process has its id")
-            raise UpstreamUnreachableError("another process has the worker's id")
-
-    async def _read_start_time(
-        self, tracked: TrackedWorker, connection: ClientConnection
-    ) -> int | None:
-        connection.send(encode_state_request(tracked.worker))
-        async with ReplyTimeout(STATE_TIMEOUT_SECONDS):
-            return decode_start_time(*await read_response(connection, MAX_STATE_BYTES))
-
-    async def is_running(self, tracked: TrackedWorker) -> bool:
-        """Whether a worker's process proves that it has not ended, by the time of its start."""
-        if not tracked.worker.born:
-            return False
-        try:
-            connection = await self._workers.connect(tracked, 0.0)
-        except ConnectError:
-            return False
-        try:
-            return await self._read_start_time(tracked, connection) == tracked.worker.born
-        except (BrokenResponseError, TimeoutError):
-            return False
-        finally:
-            connection.close()
-
     def _get_resume_point(self, job: ForwardingJob) -> str | None:
         if job.last_event_number is not None:
             return str(job.last_event_number)
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -175,6 +175,11 @@
         """Return the newest process under the id of a worker; itself if it was removed."""
         return self._workers.get(tracked.worker.id, tracked)
 
+    @property
+    def now(self) -> float:
+        """The present time, in monotonic seconds."""
+        return self._clock.monotonic()
+
     def measure_known_seconds(self) -> float:
         """Return for how long this entry has known the worker list."""
         if self.first_listed_at is None:
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -93,6 +93,7 @@
 
     Usage: `send`, then `read` until BodyEnd, then `finish`. `idle_limit` is the server's keep-alive
     time in seconds, if it announced one; `forwarded_requests` counts callers' requests sent on it.
+    `is_process_known` is set once the process at its other end has shown to be the expected one.
     `tunnel_server` is the address of the instance through which it leads, empty if it is direct.
     """
 
@@ -102,6 +103,7 @@
         self.idle_since = 0.0
         self.idle_limit: float | None = None
         self.forwarded_requests = 0
+        self.is_process_known = False
         self.tunnel_server = ""
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -209,6 +209,20 @@
         assert answer.is_complete and find_worker(deployment, f"p{number}").id == "m-1"
 
 
+# Guards against a stream joined from two versions: it begins at a worker that was restarted with
+# another version before the list says so, and that never failed at this entry.
+async def test_a_stream_does_not_begin_on_a_new_connection_to_an_unknown_process(deployment):
+    entry = deployment.entries[0]
+    worker = deployment.worker("m-2")
+    (tracked,) = [t for t in entry.workers.list_usable("models") if t.worker.id == "m-2"]
+    worker.version, worker.born = "v1", 3000
+    tracked.close_idle()
+    for number in range(4):
+        tracked.failures, tracked.state.cooldown_until = 0, 0.0
+        answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id=f"p{number}")
+        assert answer.is_complete and find_worker(deployment, f"p{number}").id == "m-1"
+
+
 # Guards against a stream that goes on at any version because its first attempt is not known.
 @pytest.mark.parametrize("fields", [{"Resumes": "unknown"}, {}])
 async def test_a_resumption_of_an_unknown_stream_is_refused_beside_two_versions(deployment, fields):
