A response that ends with its worker's process is not whole

Callers saw streams that ended as complete before their last event, and the next turn of a chain ran on what was left of the one before. A response with neither a length nor chunks ends with its connection, and a killed process closes its connections in order, as a sound one does; only simulations and stand-ins reset them.

The worker is now asked over a new connection whether it goes on: a refused connection or another start time shows that it ended. Without an answer the question is asked again, for as long as a stream that may be resumed may be silent (it is then continued), or until the deadline (others are broken off and not kept). Workers that do not report a start time go on if they answer. Each decision is logged.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -59,8 +59,8 @@
         self._region = region
         self._clock = clock
         self._log = log
-        self._processes = WorkerProcesses(workers, log)
-        self._relay = ResponseRelay(self._list_candidates, clock, log)
+        self._processes = WorkerProcesses(workers, clock, log)
+        self._relay = ResponseRelay(self._list_candidates, self._processes, clock, log)
 
     async def is_running(self, tracked: TrackedWorker) -> bool:
         """Whether a worker's process proves that it has not ended."""
@@ -234,7 +234,7 @@
                 if is_stream:
                     trailing = await self._relay.relay_events(job, tracked, connection, reply)
                 else:
-                    await self._relay.relay_body(job, connection, reply)
+                    await self._relay.relay_body(job, tracked, connection, reply)
         finally:
             tracked.state.granted -= 1
         tracked.record_success(self._clock.monotonic() - started)
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from egretford.clock import Clock
+from egretford.entry.dialing import shows_end
 from egretford.entry.jobs import ForwardingJob
 from egretford.entry.workers import TrackedWorker, WorkerTable
 from egretford.errors import UpstreamLostError, UpstreamRefusedError, UpstreamUnreachableError
@@ -20,6 +22,8 @@
 # round trip.
 STATE_TIMEOUT_SECONDS = 0.3
 MAX_STATE_BYTES = 65_536
+# Pause, in seconds, before a process whose answer was lost is asked again.
+ASK_AGAIN_SECONDS = 0.05
 
 
 class WorkerProcesses:
@@ -29,8 +33,9 @@
     not say so yet.
     """
 
-    def __init__(self, workers: WorkerTable, log: Any) -> None:
+    def __init__(self, workers: WorkerTable, clock: Clock, log: Any) -> None:
         self._workers = workers
+        self._clock = clock
         self._log = log
 
     async def check(
@@ -123,6 +128,44 @@
         finally:
             connection.close()
 
+    async def has_outlived(self, request_id: str, tracked: TrackedWorker) -> bool:
+        """Whether a process goes on after its connection ended, as one that was killed does not.
+
+        Asks until something certain is known, so callers set a timeout. A process that does not
+        report when it started has not ended if it answers, since a new one takes longer to start.
+        """
+        while True:
+            try:
+                connection = await self._workers.connect(tracked, 0.0)
+            except ConnectError as error:
+                if shows_end(error):
+                    self._log_end(request_id, tracked, goes_on=False, born=None)
+                    return False
+            else:
+                try:
+                    born = await self._read_start_time(tracked, connection)
+                except (BrokenResponseError, TimeoutError):
+                    pass  # It may be silent for a while, or have ended since it was connected.
+                else:
+                    goes_on = born is None or not tracked.worker.born or born == tracked.worker.born
+                    self._log_end(request_id, tracked, goes_on=goes_on, born=born)
+                    return goes_on
+                finally:
+                    connection.close()
+            await self._clock.sleep(ASK_AGAIN_SECONDS)
+
+    def _log_end(
+        self, request_id: str, tracked: TrackedWorker, *, goes_on: bool, born: int | None
+    ) -> None:
+        self._log.info(
+            "checked whether a worker goes on after an unframed response",
+            request=request_id,
+            worker=tracked.worker.id,
+            goes_on=goes_on,
+            expected=tracked.worker.born,
+            born=born,
+        )
+
     async def _read_start_time(
         self, tracked: TrackedWorker, connection: ClientConnection
     ) -> int | None:
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -11,6 +11,7 @@
 from egretford.entry.events import EventError, EventSplitter, StreamEvent
 from egretford.entry.jobs import ForwardingJob
 from egretford.entry.models import WorkerReply
+from egretford.entry.processes import WorkerProcesses
 from egretford.entry.workers import TrackedWorker
 from egretford.errors import ErrorKind, UpstreamLostError
 from egretford.http.client import BodyEnd, BodyPart, ClientConnection, read_body
@@ -55,20 +56,28 @@
     def __init__(
         self,
         list_candidates: Callable[[ForwardingJob], list[TrackedWorker]],
+        processes: WorkerProcesses,
         clock: Clock,
         log: Any,
     ) -> None:
         self._list_candidates = list_candidates
+        self._processes = processes
         self._clock = clock
         self._log = log
 
     async def relay_body(
-        self, job: ForwardingJob, connection: ClientConnection, reply: WorkerReply
+        self,
+        job: ForwardingJob,
+        tracked: TrackedWorker,
+        connection: ClientConnection,
+        reply: WorkerReply,
     ) -> None:
         """Relay a complete body; raises UpstreamLostError if the call may be repeated."""
         try:
             async with ReplyTimeout(get_read_timeout(job)):
                 body = await read_body(connection, MAX_ANSWER_BYTES)
+                if connection.ended_unframed:
+                    await self._check_end(job, tracked)
         except TimeoutError as error:
             raise UpstreamLostError("no whole body in time", crashed=False) from error
         failed_by_worker = reply.status >= 500
@@ -106,8 +115,24 @@
         if not part.is_framed and job.events == events_before:
             # A worker that was lost after its head looks the same.
             raise UpstreamLostError("the connection ended before an event", crashed=True)
+        if not part.is_framed:
+            limit = job.history.idle_timeout if job.route.resumable else None
+            try:
+                async with ReplyTimeout(limit):
+                    await self._check_end(job, tracked)
+            except TimeoutError as error:
+                message = "no proof that the stream is whole"
+                raise UpstreamLostError(message, crashed=False) from error
         return splitter.take_trailing()
 
+    async def _check_end(self, job: ForwardingJob, tracked: TrackedWorker) -> None:
+        """Check that the end of a connection was the end of a response, not of its worker.
+
+        Raises UpstreamLostError if the worker's process has ended; waits until it is known.
+        """
+        if not await self._processes.has_outlived(job.request.id, tracked):
+            raise UpstreamLostError("the worker's process ended with the response", crashed=True)
+
     async def finish_stream(self, job: ForwardingJob, reply: WorkerReply, trailing: bytes) -> None:
         """End the stream once `before_end` allows it, after the bytes that follow its events."""
         if job.before_end is not None:
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -93,6 +93,7 @@
 
     Usage: `send`, then `read` until BodyEnd, then `finish`. `idle_limit` is the server's keep-alive
     time in seconds, if it announced one; `forwarded_requests` counts callers' requests sent on it.
+    `ended_unframed` is set once only the end of the connection marked that of a response.
     `is_process_known` is set once the process at its other end has shown to be the expected one.
     `tunnel_server` is the address of the instance through which it leads, empty if it is direct.
     """
@@ -104,6 +105,7 @@
         self.idle_limit: float | None = None
         self.forwarded_requests = 0
         self.is_process_known = False
+        self.ended_unframed = False
         self.tunnel_server = ""
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
@@ -266,6 +268,7 @@
         The end of a tunnel does not show whether the server ended the response or the tunnel broke.
         """
         if self._in_body and self._ends_with_connection and not self.tunnelled:
+            self.ended_unframed = True
             self._emit(BodyEnd(is_framed=False))
             self._in_body = False
         self.reusable = False
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
+import time
 
 import pytest
 
@@ -36,6 +38,27 @@
     return script
 
 
+def respond_and_end(body: bytes, end: str):
+    """Return a script that sends `body` without framing, and ends its process as if killed.
+
+    `end` is "gone", or "restarted" if another process is at its address at once. Later requests
+    are served.
+    """
+    served = itertools.count(1)
+
+    async def script(worker, arrival, responder):
+        if next(served) > 1:
+            return False
+        head = encode_head(encode_status_line(200), worker.sign(arrival.request_id))
+        if end == "gone":
+            worker.server.stop_listening()
+        else:
+            worker.born += 1
+        return send_raw(responder, head + body, "close")
+
+    return script
+
+
 def set_script(deployment, script) -> None:
     for worker in deployment.workers:
         worker.script = script
@@ -93,3 +116,48 @@
     set_script(deployment, respond_unframed(body, end, attempts=1))
     answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
     assert (answer.status, answer.body, answer.is_complete) == (200, EVENTS, True)
+
+
+# Guards against a turn without its end that looks complete, or that the next turn runs on, since a
+# killed process closes its connections in order.
+@pytest.mark.parametrize("end", ["gone", "restarted"])
+async def test_a_turn_whose_worker_was_killed_is_neither_complete_nor_kept(deployment, end):
+    set_script(deployment, respond_and_end(make_event(1) + make_event(2), end))
+    answer = await ask_turn(deployment.callers[0], b"hello ", "t1")
+    assert answer.status != 200 or not answer.is_complete
+    again = await ask_turn(deployment.callers[1], b"more", "t2", Previous_Turn="t1")
+    assert again.status == 404
+    assert not deployment.arrivals("t2")
+
+
+# Guards against a stream without its end that looks complete.
+@pytest.mark.parametrize("end", ["gone", "restarted"])
+async def test_a_resumable_stream_whose_worker_was_killed_is_continued(deployment, end):
+    set_script(deployment, respond_and_end(make_event(1) + make_event(2), end))
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert (answer.status, answer.body, answer.is_complete) == (200, EVENTS, True)
+
+
+# Guards against a body without its end that looks whole, at a worker that reports no start.
+async def test_a_body_whose_worker_was_killed_fails_and_is_not_sent_again(deployment):
+    set_script(deployment, respond_and_end(b"boo", "gone"))
+    answer = await deployment.callers[0].ask("/book/1", request_id="b1")
+    assert answer.status == 502
+    assert len(deployment.arrivals("b1")) == 1
+
+
+# Guards against a whole turn that is broken off because its worker does not answer for a second.
+async def test_a_turn_of_a_worker_that_is_silent_for_a_while_is_kept(deployment):
+    async def script(worker, arrival, responder):
+        worker.report_delay = 5.0
+        asyncio.get_running_loop().call_later(1.0, setattr, worker, "report_delay", 0.0)
+        head = encode_head(encode_status_line(200), worker.sign(arrival.request_id))
+        return send_raw(responder, head + EVENTS, "close")
+
+    set_script(deployment, script)
+    started = time.monotonic()
+    answer = await ask_turn(deployment.callers[0], b"hello ", "t1")
+    assert (answer.body, answer.is_complete) == (EVENTS, True)
+    assert time.monotonic() - started > 1.0
+    set_script(deployment, None)
+    assert (await ask_turn(deployment.callers[1], b"more", "t2", Previous_Turn="t1")).status == 200
