A run that takes a stream over begins at the next event

Callers that resumed a stream got events that they had (1, 2, 3, 4 after 2), or a stream whose middle was missing (4 after 2), as whole; the latter also where the entry itself went on at another worker.

An event's number was compared with the one before it of this attempt only, and just for going back: what the caller had before its resumption was not in it, and a gap at a takeover passed.

The numbers are now kept in one place, which knows the caller's last event from the start. A run that follows another has to begin at the next number; one that does not is a lost attempt, tried again as the route allows, and its reason is logged with both numbers. Within a run, gaps pass as before.

Five of the nine cases of tests/platform/test_event_order.py failed before; all pass, as do those of tests/policy/test_sequences.py.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -303,8 +303,8 @@
         self._workers.release_connection(tracked, connection)
 
     def _get_resume_point(self, job: ForwardingJob) -> str | None:
-        if job.last_event_number is not None:
-            return str(job.last_event_number)
+        if job.sequence.last is not None:
+            return str(job.sequence.last)
         return job.request.resume_after
 
     async def _read_reply(
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -11,7 +11,9 @@
 from egretford.entry.workers import TrackedWorker
 from egretford.errors import ErrorKind, RequestError, Verdict
 from egretford.http.server import Responder
+from egretford.numbers import parse_whole_number
 from egretford.policy.attempts import AttemptHistory
+from egretford.policy.sequences import EventSequence
 
 
 @define
@@ -28,6 +30,7 @@
     `tolerated_silence_start` is the time of the last event before a silence that has no limit,
     because no worker may continue the stream.
     `kept_by` names the keepers that hold the turn, once it is kept.
+    `sequence` has the numbers of the events that the caller has, also from before a resumption.
     `stream` is set for streams that callers may resume, and `media_type` once a stream has begun
     whose worker named one.
     """
@@ -51,7 +54,7 @@
     only_worker: TrackedWorker | None = None
     tolerated_silence_start: float | None = None
     events: int = 0
-    last_event_number: int | None = None
+    sequence: EventSequence = field(init=False)
     media_type: str | None = None
     output: bytearray = Factory(bytearray)
     worker: str = ""
@@ -60,6 +63,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.history = AttemptHistory(self.route.attempts)
+        resume_after = self.request.resume_after if self.route.resumable else None
+        self.sequence = EventSequence(parse_whole_number(resume_after or ""))
 
     @property
     def can_repeat(self) -> bool:
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -96,6 +96,7 @@
         # Text in place of the rest of a stream is an error's, as workers send none before events.
         splitter = EventSplitter(rejects_text=job.responder.started)
         events_before = job.events
+        job.sequence.start_run()
         silence = _Silence(self._clock.monotonic())
         while not isinstance(
             part := await self._read_stream_part(job, tracked, connection, silence), BodyEnd
@@ -178,15 +179,14 @@
     async def _relay_event(
         self, job: ForwardingJob, reply: WorkerReply, event: StreamEvent
     ) -> None:
-        numbered = event.number is not None and job.last_event_number is not None
-        if numbered and event.number <= job.last_event_number:
-            raise UpstreamLostError("the stream repeats an event", crashed=False)
+        if (fault := job.sequence.find_fault(event.number)) is not None:
+            raise UpstreamLostError(fault, crashed=False)
         if job.stream is not None and not await job.stream.fix():
             message = "the stream's version could not be recorded"
             raise job.refuse(ErrorKind.STORE_UNAVAILABLE, message)
         self._start_stream(job, reply)
         job.events += 1
-        job.last_event_number = event.number if event.number is not None else job.last_event_number
+        job.sequence.add(event.number)
         if job.before_end is not None:
             job.output += event.data + b"\n"
             if len(job.output) > MAX_ANSWER_BYTES:
--- /dev/null
+++ b/tests/platform/test_event_order.py
@@ -0,0 +1,84 @@
+"""Resumable streams whose next worker does not go on where the caller's events end."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from tests.platform.deployment import run_deployment
+from tests.platform.standins import make_event
+from tests.platform.test_software_versions import begin_stream, send_two_events
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with run_deployment(tmp_path) as running:
+        yield running
+
+
+def set_script(deployment, script) -> None:
+    for worker in deployment.workers:
+        worker.script = script
+
+
+def stream_from(first: int, attempts: int = 100):
+    """Return a script whose streams begin at event `first`, for the first `attempts` resumptions.
+
+    Streams that are not resumed break off after event 2.
+    """
+    served = itertools.count(1)
+
+    async def script(worker, arrival, responder):
+        begins_at = first
+        if arrival.headers.get(b"Last-Event-Id") is None:
+            await worker.stream(arrival, responder, upto=3)
+            return True
+        if next(served) > attempts:
+            return False
+        responder.start_stream(200, worker.sign(arrival.request_id))
+        for number in range(begins_at, worker.events + 1):
+            await responder.write(make_event(number))
+        responder.finish_stream()
+        return True
+
+    return script
+
+
+# Guards against events that come twice (1) or are missing (4) where a caller resumes a stream.
+@pytest.mark.parametrize("first", [1, 2, 4])
+async def test_a_stream_that_a_caller_resumes_gets_no_event_out_of_order(deployment, first):
+    caller = deployment.callers[0]
+    set_script(deployment, send_two_events)
+    await begin_stream(deployment, caller, "p1")
+    set_script(deployment, stream_from(first))
+    answer = await caller.ask(
+        "/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2"
+    )
+    assert (answer.status, len(deployment.arrivals("p2"))) == (502, 3)
+
+
+async def test_a_stream_that_a_caller_resumes_goes_on_at_the_next_event(deployment):
+    caller = deployment.callers[0]
+    set_script(deployment, send_two_events)
+    await begin_stream(deployment, caller, "p1")
+    set_script(deployment, stream_from(3))
+    answer = await caller.ask(
+        "/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2"
+    )
+    assert (answer.body, answer.is_complete) == (make_event(3) + make_event(4), True)
+
+
+# Guards against the same where the entry goes on after a worker broke off.
+@pytest.mark.parametrize("first", [1, 2, 4])
+async def test_a_stream_that_broke_off_gets_no_event_out_of_order(deployment, first):
+    set_script(deployment, stream_from(first))
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert (answer.body, answer.is_complete) == (make_event(1) + make_event(2), False)
+
+
+@pytest.mark.parametrize("first", [1, 4])
+async def test_a_run_out_of_order_is_replaced_by_another(deployment, first):
+    set_script(deployment, stream_from(first, attempts=1))
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert (answer.body, answer.is_complete) == (b"".join(map(make_event, range(1, 5))), True)
