A stream that began at an unknown process is not continued at another

A process that started again under its id may be of another version before the list says so, and on a machine where everything is late, the question often has no answer in time.

The stream still begins there, as its callers lose nothing by it, but its record says that its version is unknown. No worker has that version: the entry breaks the response off with its worker, and a resumption is refused at once as not run. Without any record such a stream does not begin, since an entry that knows one version only would guess.

test_a_stream_that_began_at_an_unknown_process_is_not_resumed failed before: the stream was resumed at a worker of the listed version. The case that breaks off passed before on routes of one attempt; it also bounds how long the response is held.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -269,7 +269,8 @@
                     await self._processes.check(job, tracked, connection)
                 elif not connection.is_process_known:
                     connection = await self._processes.identify(job, tracked, connection)
-                job.stream.begin(tracked.worker)
+                is_known = connection.is_process_known or not tracked.worker.born
+                job.stream.begin(tracked.worker, is_process_known=is_known)
                 seconds_left = job.deadline - self._clock.monotonic()
             resume_after = self._get_resume_point(job)
             connection.send(
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -68,7 +68,9 @@
 
     @property
     def can_repeat(self) -> bool:
-        """Whether the route allows a retry after the request may have run."""
+        """Whether a retry is allowed after the request may have run."""
+        if self.stream is not None and not self.stream.can_continue:
+            return False
         return self.route.repeatable or self.route.resumable
 
     @property
--- a/egretford/entry/origins.py
+++ b/egretford/entry/origins.py
@@ -12,7 +12,7 @@
 from egretford.entry.workers import WorkerTable
 from egretford.errors import ErrorKind, RequestError
 from egretford.keeper.messages import Reserve, Reserved
-from egretford.policy.ledger import Charge, StreamOrigin, merge_ledgers
+from egretford.policy.ledger import UNKNOWN_VERSION, Charge, StreamOrigin, merge_ledgers
 from egretford.timeouts import ReplyTimeout
 
 # Prefix of the keys of streams' records, which keeps them apart from programs.
@@ -56,7 +56,8 @@
                 # Later attempts may reach entries that know other versions only.
                 write = self.start_write(request.resumed_request, origin)
                 await asyncio.wait([write], timeout=WRITE_TIMEOUT_SECONDS)
-        allowed = origin is not None and origin.upstream in {t.upstream for t in route.targets}
+        allowed = origin is not None and origin.is_known
+        allowed = allowed and origin.upstream in {t.upstream for t in route.targets}
         self._log.info(
             "a stream is resumed" if allowed else "cannot tell where a stream may be resumed",
             request=request.id,
@@ -135,27 +136,30 @@
         """Whether a worker's software version may continue the stream."""
         return not self.is_fixed or worker.software_version == self.origin.version
 
-    def begin(self, worker: Worker) -> None:
+    @property
+    def can_continue(self) -> bool:
+        """Whether any worker may continue the stream."""
+        return not self.is_fixed or self.origin.is_known
+
+    def begin(self, worker: Worker, *, is_process_known: bool) -> None:
         """Start to record the version of the worker that gets the request, unless it is fixed."""
-        if self.allows(worker) and (self.origin is None or self._differs(worker)):
+        version = worker.software_version if is_process_known else UNKNOWN_VERSION
+        if not self.is_fixed and (self.origin is None or self.origin.version != version):
             revision = 0 if self.origin is None else self.origin.revision + 1
-            self.origin = StreamOrigin(revision, self.upstream, worker.software_version)
+            self.origin = StreamOrigin(revision, self.upstream, version)
             self._write = self._origins.start_write(self.id, self.origin)
 
-    def _differs(self, worker: Worker) -> bool:
-        return worker.software_version != self.origin.version
-
     async def fix(self) -> bool:
         """Fix the version before the first event; returns whether the event may be delivered.
 
         A stream may begin without a record, as nobody reads a wrong one then. That does not hold
-        where another version was recorded before.
+        where another version was recorded before, or where the process may be another than listed.
         """
         if self.is_fixed:
             return True
         await asyncio.wait([self._write], timeout=WRITE_TIMEOUT_SECONDS)
         if not (self._write.done() and not self._write.cancelled() and self._write.result()):
-            if self.origin.revision:
+            if self.origin.revision or not self.origin.is_known:
                 return False
             self._origins.log_unrecorded(self.id, self.origin)
         self.is_fixed = True
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -63,9 +63,10 @@
     async def identify(
         self, job: ForwardingJob, tracked: TrackedWorker, connection: ClientConnection
     ) -> ClientConnection:
-        """Do the same at the first use of a connection; a worker that does not answer is trusted.
+        """Do the same at the first use of a connection, but accept a worker that does not answer.
 
-        Returns the connection to use, as an unanswered one is closed.
+        Returns the connection to use, as an unanswered one is closed. Its `is_process_known` tells
+        whether the worker answered.
         """
         if not tracked.worker.born:
             return connection
--- a/egretford/policy/ledger.py
+++ b/egretford/policy/ledger.py
@@ -16,6 +16,10 @@
 MAX_TRACKED_PROGRAMS = 10_000
 
 
+# Version of a stream whose worker did not say which process it is; no worker has it.
+UNKNOWN_VERSION = "?"
+
+
 @frozen(order=True)
 class StreamOrigin:
     """The upstream and the software version of the worker that began a stream.
@@ -27,6 +31,11 @@
     upstream: str
     version: str
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the stream may be continued at workers of its version."""
+        return self.version != UNKNOWN_VERSION
+
 
 @frozen
 class Charge:
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -223,6 +223,48 @@
         assert answer.is_complete and find_worker(deployment, f"p{number}").id == "m-1"
 
 
+async def set_silent_restart(deployment):
+    """Let m-2 be a process of v1 that the list calls v2 and that does not say so."""
+    worker = deployment.worker("m-2")
+    worker.version, worker.born, worker.report_delay = "v1", 3000, 1.0
+    deployment.store.remove("servers", "m-1")
+    await deployment.wait_until(
+        lambda: all(len(e.workers.list_usable("models")) == 1 for e in deployment.entries)
+    )
+    return worker
+
+
+# Guards against a stream joined from two versions: its first worker did not say which process it
+# is, and was not the one in the list. The caller resumes it.
+async def test_a_stream_that_began_at_an_unknown_process_is_not_resumed(deployment):
+    worker = await set_silent_restart(deployment)
+    worker.script = send_two_events
+    await begin_stream(deployment, deployment.callers[0], "p1")
+    await add_worker(deployment, "m-3", "north-b", "v2")
+    for number, caller in enumerate(deployment.callers):
+        answer = await resume(caller, f"q{number}", "p1")
+        assert answer.status == 503 and not deployment.arrivals(f"q{number}")
+
+
+# Guards against the same where the entry goes on, and against a response that is held until its
+# deadline because no worker may continue it.
+async def test_a_stream_that_began_at_an_unknown_process_is_broken_off_with_it(deployment):
+    worker = await set_silent_restart(deployment)
+
+    async def break_off(worker, arrival, responder):
+        await add_worker(deployment, "m-3", "north-b", "v2")
+        await worker.stream(arrival, responder, upto=3)
+        return True
+
+    worker.script = break_off
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert (answer.body, answer.is_complete) == (make_event(1) + make_event(2), False)
+    assert loop.time() - started < 1.5
+    assert {arrival.worker for arrival in deployment.arrivals("p1")} == {"m-2"}
+
+
 # Guards against a stream that goes on at any version because its first attempt is not known.
 @pytest.mark.parametrize("fields", [{"Resumes": "unknown"}, {}])
 async def test_a_resumption_of_an_unknown_stream_is_refused_beside_two_versions(deployment, fields):
