A turn that is kept is not resumed by its caller

No entry has the events that a caller got from another one, and a second run from the start may differ from them, so such a resumption is refused at once as not run; the caller sends the turn from its start. A response that the entry itself continues is kept whole, as before.

test_a_turn_that_is_kept_is_not_resumed_by_its_caller failed before.

--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -202,6 +202,10 @@
                 self._limits.discard(limit)
 
     async def _run(self, job: ForwardingJob) -> None:
+        if job.route.keeps_turns and job.request.resumes:
+            # It could only be kept without the events that its caller has.
+            message = "a turn that is kept cannot be resumed"
+            raise RequestError(ErrorKind.STORE_UNAVAILABLE, message)
         if job.route.kind is RouteKind.STREAMING and job.route.resumable:
             with self._set_retry_after(job.upstream):
                 job.stream = await self._origins.open(job.request, job.route, job.upstream)
--- a/tests/platform/test_event_order.py
+++ b/tests/platform/test_event_order.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.platform.deployment import run_deployment
-from tests.platform.standins import make_event
+from tests.platform.deployment import make_configuration, run_deployment
+from tests.platform.standins import join_events, make_event
 from tests.platform.test_software_versions import begin_stream, send_two_events
 
 
@@ -82,3 +82,45 @@
     set_script(deployment, stream_from(first, attempts=1))
     answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
     assert (answer.body, answer.is_complete) == (b"".join(map(make_event, range(1, 5))), True)
+
+
+async def keep_turns_of_plans(deployment) -> None:
+    """Put a configuration in force whose resumable route keeps turns."""
+    configuration = make_configuration(4)
+    (route,) = [route for route in configuration["routes"] if route["name"] == "plan"]
+    route |= {"retain": True, "retention_s": 60}
+    deployment.store.put("config", "main", configuration)
+    await deployment.wait_until(
+        lambda: all(entry.gateway.configuration_version == 4 for entry in deployment.entries)
+    )
+
+
+# Guards against a chain whose history lacks the events before a caller resumed a turn.
+async def test_a_turn_that_is_kept_is_not_resumed_by_its_caller(deployment):
+    await keep_turns_of_plans(deployment)
+    caller, other = deployment.callers
+    set_script(deployment, send_two_events)
+    await begin_stream(deployment, caller, "p1")
+    set_script(deployment, None)
+    answer = await other.ask("/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2")
+    assert answer.status == 503 and not deployment.arrivals("p2")
+    again = await other.ask("/plan/1", body=b"x", request_id="p3")
+    assert again.is_complete
+    assert (
+        await caller.ask("/plan/1", body=b"y", request_id="p4", Previous_Turn="p3")
+    ).status == 200
+    (arrival,) = deployment.arrivals("p4")
+    assert arrival.body == b"x" + join_events(4) + b"y"
+
+
+async def test_a_turn_that_its_entry_continues_is_kept_whole(deployment):
+    await keep_turns_of_plans(deployment)
+    set_script(deployment, stream_from(3, attempts=1))
+    assert (await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")).is_complete
+    set_script(deployment, None)
+    answer = await deployment.callers[1].ask(
+        "/plan/1", body=b"y", request_id="p2", Previous_Turn="p1"
+    )
+    assert answer.is_complete
+    (arrival,) = deployment.arrivals("p2")
+    assert arrival.body == b"x" + join_events(4) + b"y"
