Only the process that sent an unframed response proves that it is whole

Callers could still get a cut response as whole where anything answered at the address of its worker: a successor that is not ready yet (503), a state that was itself cut off, or a process that started while the question was repeated. And sound responses were lost: the question shared the 0.3 s of a repeatable call's body, so a late report made the call run at every worker and fail; each question closed all idle connections to its worker.

An answer now counts only if it is usable and has the start time that the list gave when the request was sent, or, from a worker that reports none, if its connection opened within 0.2 s of the end, which is shorter than a process takes to start. The first question stays open beside later ones, since a process that is silent for a second may answer it; the proof has its own time limit, on a new connection that leaves the idle ones open. The end of a worker that is leaving is no crash. Each question is logged with what was expected and what was said.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -281,6 +281,7 @@
             job.offers += 1
             job.history.record_sent(tracked.worker.id)
             job.worker = tracked.worker.id
+            job.process_start = tracked.worker.born
             if connection.tunnelled:
                 self._log.info(
                     "sent through another entry",
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -29,6 +29,8 @@
     `refused_by` lists the workers to skip until the next backoff is over.
     `tolerated_silence_start` is the time of the last event before a silence that has no limit,
     because no worker may continue the stream.
+    `process_start` is when the process that got the request started by the worker list, 0 if the
+    list does not say.
     `kept_by` names the keepers that hold the turn, once it is kept.
     `sequence` has the numbers of the events that the caller has, also from before a resumption.
     `stream` is set for streams that callers may resume, and `media_type` once a stream has begun
@@ -58,6 +60,7 @@
     media_type: str | None = None
     output: bytearray = Factory(bytearray)
     worker: str = ""
+    process_start: int = 0
     kept_by: list[str] = Factory(list)
     history: AttemptHistory = field(init=False)
 
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from egretford.clock import Clock
@@ -22,8 +23,10 @@
 # round trip.
 STATE_TIMEOUT_SECONDS = 0.3
 MAX_STATE_BYTES = 65_536
-# Pause, in seconds, before a process whose answer was lost is asked again.
-ASK_AGAIN_SECONDS = 0.05
+# Seconds after which a process that has not answered is asked again.
+ASK_AGAIN_SECONDS = 0.3
+# Time, in seconds, in which no process takes the place of one that has just ended.
+PROMPT_CONNECT_SECONDS = 0.2
 
 
 class WorkerProcesses:
@@ -119,7 +122,7 @@
         if not tracked.worker.born:
             return False
         try:
-            connection = await self._workers.connect(tracked, 0.0)
+            connection = await self._workers.open_connection(tracked)
         except ConnectError:
             return False
         try:
@@ -129,47 +132,87 @@
         finally:
             connection.close()
 
-    async def has_outlived(self, request_id: str, tracked: TrackedWorker) -> bool:
+    async def has_outlived(self, job: ForwardingJob, tracked: TrackedWorker) -> bool:
         """Whether a process goes on after its connection ended, as one that was killed does not.
 
-        Asks until something certain is known, so callers set a timeout. A process that does not
-        report when it started has not ended if it answers, since a new one takes longer to start.
+        Asks until something certain is known, so callers set a timeout. The first question stays
+        open, as a process that is silent for a while may answer it.
         """
-        while True:
+        asked_at = self._clock.monotonic()
+        first = asyncio.create_task(self._ask(job, tracked, asked_at, None))
+        pending = {first}
+        try:
+            while True:
+                done, pending = await asyncio.wait(
+                    pending, timeout=ASK_AGAIN_SECONDS, return_when=asyncio.FIRST_COMPLETED
+                )
+                outcomes = {question.result() for question in done} - {None}
+                if outcomes:
+                    return False not in outcomes
+                if done:
+                    await self._clock.sleep(ASK_AGAIN_SECONDS)
+                if not pending - {first}:
+                    again = self._ask(job, tracked, asked_at, STATE_TIMEOUT_SECONDS)
+                    pending.add(asyncio.create_task(again))
+        finally:
+            for question in pending:
+                question.cancel()
+
+    async def _ask(
+        self, job: ForwardingJob, tracked: TrackedWorker, asked_at: float, timeout: float | None
+    ) -> bool | None:
+        """Ask once over a new connection; None if nothing certain is known after `timeout` seconds.
+
+        A process that does not say when it started is the one that sent the response if it accepts
+        a connection at once, as another one takes longer to start. `asked_at` is the time of the
+        first question.
+        """
+        born: int | None = None
+        try:
+            connection = await self._workers.open_connection(tracked)
+            is_prompt = self._clock.monotonic() - asked_at <= PROMPT_CONNECT_SECONDS
             try:
-                connection = await self._workers.connect(tracked, 0.0)
-            except ConnectError as error:
-                if shows_end(error):
-                    self._log_end(request_id, tracked, goes_on=False, born=None)
-                    return False
-            else:
-                try:
-                    born = await self._read_start_time(tracked, connection)
-                except (BrokenResponseError, TimeoutError):
-                    pass  # It may be silent for a while, or have ended since it was connected.
-                else:
-                    goes_on = born is None or not tracked.worker.born or born == tracked.worker.born
-                    self._log_end(request_id, tracked, goes_on=goes_on, born=born)
-                    return goes_on
-                finally:
-                    connection.close()
-            await self._clock.sleep(ASK_AGAIN_SECONDS)
-
-    def _log_end(
-        self, request_id: str, tracked: TrackedWorker, *, goes_on: bool, born: int | None
-    ) -> None:
+                born = await self._read_start_time(tracked, connection, timeout)
+            finally:
+                connection.close()
+            goes_on = True if is_prompt else None
+            if job.process_start and born is not None:
+                goes_on = born == job.process_start
+            reason = "answered"
+        except ConnectError as error:
+            goes_on = False if shows_end(error) else None
+            reason = str(error)
+        except (BrokenResponseError, TimeoutError) as error:
+            goes_on = None
+            reason = repr(error)
         self._log.info(
-            "checked whether a worker goes on after an unframed response",
-            request=request_id,
+            "asked whether a worker goes on after an unframed response",
+            request=job.request.id,
             worker=tracked.worker.id,
             goes_on=goes_on,
-            expected=tracked.worker.born,
+            expected=job.process_start,
             born=born,
+            reason=reason,
         )
+        return goes_on
 
     async def _read_start_time(
-        self, tracked: TrackedWorker, connection: ClientConnection
+        self,
+        tracked: TrackedWorker,
+        connection: ClientConnection,
+        timeout: float | None = STATE_TIMEOUT_SECONDS,
     ) -> int | None:
+        """Return when a process started, None if it does not say; `timeout` in seconds.
+
+        Raises TimeoutError, and BrokenResponseError also for an unusable or unframed report.
+        """
         connection.send(encode_state_request(tracked.worker))
-        async with ReplyTimeout(STATE_TIMEOUT_SECONDS):
-            return decode_start_time(*await read_response(connection, MAX_STATE_BYTES))
+        async with ReplyTimeout(timeout):
+            head, body = await read_response(connection, MAX_STATE_BYTES)
+        try:
+            born = decode_start_time(head, body)
+        except ValueError as error:
+            raise BrokenResponseError(f"unusable state: {error}", received=True) from error
+        if born is None and connection.ended_unframed:
+            raise BrokenResponseError("a state that may be cut off", received=True)
+        return born
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -21,6 +21,9 @@
 # Timeout, in seconds, of a repeatable call's response head, and again of its body, after which the
 # call is sent to another worker. The slowest takes some tens of milliseconds on an idle worker.
 SAFE_READ_TIMEOUT_SECONDS = 0.3
+# Time, in seconds, to prove that a repeatable call's unframed body is whole, after which the call
+# is sent to another worker.
+SAFE_PROOF_TIMEOUT_SECONDS = 0.5
 # Limit on a buffered response, and on the bodies of stale responses skipped before it, in
 # bytes of memory; workers send some kilobytes.
 MAX_ANSWER_BYTES = 8_388_608
@@ -76,10 +79,11 @@
         try:
             async with ReplyTimeout(get_read_timeout(job)):
                 body = await read_body(connection, MAX_ANSWER_BYTES)
-                if connection.ended_unframed:
-                    await self._check_end(job, tracked)
         except TimeoutError as error:
             raise UpstreamLostError("no whole body in time", crashed=False) from error
+        if connection.ended_unframed:
+            can_move = get_read_timeout(job) is not None
+            await self._check_end(job, tracked, SAFE_PROOF_TIMEOUT_SECONDS if can_move else None)
         failed_by_worker = reply.status >= 500
         if failed_by_worker and job.route.repeatable and job.history.may_add_worker:
             raise UpstreamLostError(f"status {reply.status}", crashed=False)
@@ -118,21 +122,25 @@
             raise UpstreamLostError("the connection ended before an event", crashed=True)
         if not part.is_framed:
             limit = job.history.idle_timeout if job.route.resumable else None
-            try:
-                async with ReplyTimeout(limit):
-                    await self._check_end(job, tracked)
-            except TimeoutError as error:
-                message = "no proof that the stream is whole"
-                raise UpstreamLostError(message, crashed=False) from error
+            await self._check_end(job, tracked, limit)
         return splitter.take_trailing()
 
-    async def _check_end(self, job: ForwardingJob, tracked: TrackedWorker) -> None:
+    async def _check_end(
+        self, job: ForwardingJob, tracked: TrackedWorker, timeout: float | None
+    ) -> None:
         """Check that the end of a connection was the end of a response, not of its worker.
 
-        Raises UpstreamLostError if the worker's process has ended; waits until it is known.
+        Raises UpstreamLostError if the worker's process has ended, or if that is not known after
+        `timeout` seconds.
         """
-        if not await self._processes.has_outlived(job.request.id, tracked):
-            raise UpstreamLostError("the worker's process ended with the response", crashed=True)
+        try:
+            async with ReplyTimeout(timeout):
+                goes_on = await self._processes.has_outlived(job, tracked)
+        except TimeoutError as error:
+            raise UpstreamLostError("no proof of a whole response", crashed=False) from error
+        if not goes_on:
+            message = "the worker's process ended with the response"
+            raise UpstreamLostError(message, crashed=not tracked.state.leaving)
 
     async def finish_stream(self, job: ForwardingJob, reply: WorkerReply, trailing: bytes) -> None:
         """End the stream once `before_end` allows it, after the bytes that follow its events."""
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -290,6 +290,10 @@
             connection.close()
         return await self._dialer.open(tracked.worker)
 
+    async def open_connection(self, tracked: TrackedWorker) -> ClientConnection:
+        """Return a new connection, and leave the idle ones as they are; raises ConnectError."""
+        return await self._dialer.open(tracked.worker)
+
     def release_connection(self, tracked: TrackedWorker, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is unusable or the pool is full."""
         connection.finish(self._clock.monotonic())
--- a/egretford/platform/wire.py
+++ b/egretford/platform/wire.py
@@ -56,6 +56,8 @@
     )
 )
 STATE_REQUEST = b"GET /v1/report HTTP/1.1"  # to a worker; the response is JSON
+# Statuses of workers that do not report their state.
+_NO_STATE = frozenset({400, 404, 405, 501})
 # Status by which a worker says that it did not run the request, as it is not the expected one.
 MISDIRECTED = 421
 _LEAVING_VALUE = "1"
@@ -116,13 +118,15 @@
 
 
 def decode_start_time(head: ResponseHead, body: bytes) -> int | None:
-    """Return when the process that answered a state request started; None if it does not say."""
-    if head.status != 200:
-        return None
-    try:
-        document = orjson.loads(body)
-    except ValueError:
+    """Return when the process that answered a state request started; None if it does not say.
+
+    Raises ValueError if the response is not the report of a process that serves requests.
+    """
+    if head.status in _NO_STATE:
         return None
+    if head.status != 200:
+        raise ValueError(f"status {head.status}")
+    document = orjson.loads(body)
     born = document.get("born") if isinstance(document, dict) else None
     return born if type(born) is int else None
 
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from egretford.http.messages import encode_head, encode_status_line
+from egretford.http.messages import Headers, encode_head, encode_status_line
 from tests.platform.deployment import run_deployment
 from tests.platform.standins import join_events, make_event, send_raw
 from tests.platform.test_serving import ask_turn
@@ -161,3 +161,86 @@
     assert time.monotonic() - started > 1.0
     set_script(deployment, None)
     assert (await ask_turn(deployment.callers[1], b"more", "t2", Previous_Turn="t1")).status == 200
+
+
+def report_once_ended(deployment, respond) -> None:
+    """Let workers that have ended answer questions for their state with `respond`."""
+    for worker in deployment.workers:
+
+        async def handle(http, responder, worker=worker, serve=worker.server.handle):
+            if http.path == b"/v1/report" and worker.born != 1000:
+                respond(responder)
+            else:
+                await serve(http, responder)
+
+        worker.server.handle = handle
+
+
+# Guards against a cut turn that looks whole because something answers at its worker's address.
+@pytest.mark.parametrize("report", ["not ready", "cut off"])
+async def test_an_unusable_report_does_not_show_that_a_worker_goes_on(deployment, report):
+    def respond(responder):
+        if report == "not ready":
+            responder.send_response(503, Headers(), b"")
+        else:
+            send_raw(responder, encode_head(encode_status_line(200), []) + b'{"stage"', "close")
+
+    report_once_ended(deployment, respond)
+    set_script(deployment, respond_and_end(make_event(1) + make_event(2), "restarted"))
+    answer = await ask_turn(deployment.callers[0], b"hello ", "t1")
+    assert answer.status != 200 or not answer.is_complete
+
+
+# Guards against a cut body that looks whole because another process answers at its address later.
+async def test_a_body_whose_worker_was_replaced_during_the_question_fails(deployment):
+    ended_at = time.monotonic()
+
+    def respond(responder):
+        if time.monotonic() - ended_at < 1.0:
+            responder.abort()
+        else:
+            responder.send_response(400, Headers(), b"")
+
+    report_once_ended(deployment, respond)
+    set_script(deployment, respond_and_end(b"boo", "restarted"))
+    ended_at = time.monotonic()
+    answer = await deployment.callers[0].ask("/book/1", request_id="b1")
+    assert answer.status == 504
+    assert len(deployment.arrivals("b1")) == 1
+
+
+# Guards against a whole body that is thrown away, and run again, because its worker is slow to
+# report.
+async def test_a_body_of_a_worker_that_reports_late_is_passed_on(deployment):
+    set_script(deployment, respond_unframed(b"pong", "close"))
+    for worker in deployment.workers:
+        worker.report_delay = 0.4
+    answer = await deployment.callers[0].ask("/ping/1", method="GET", request_id="a1")
+    assert (answer.status, answer.body) == (200, b"pong")
+    assert len(deployment.arrivals("a1")) == 1
+
+
+# Guards against an unframed response that closes the idle connections to its worker.
+async def test_an_unframed_response_leaves_other_connections_open(deployment):
+    gate = asyncio.Event()
+
+    async def script(worker, arrival, responder):
+        if arrival.request_id.startswith("held"):
+            await gate.wait()
+            return False
+        head = encode_head(encode_status_line(200), worker.sign(arrival.request_id))
+        return send_raw(responder, head + b"booked", "close")
+
+    def count_idle() -> int:
+        workers = deployment.entries[0].workers.list_usable("booking")
+        return sum(len(tracked.idle_connections) for tracked in workers)
+
+    set_script(deployment, script)
+    caller = deployment.callers[0]
+    held = [asyncio.create_task(caller.ask("/book/1", request_id=f"held{n}")) for n in range(8)]
+    await asyncio.sleep(0.2)
+    gate.set()
+    await asyncio.gather(*held)
+    idle = count_idle()
+    assert idle > 4 and (await caller.ask("/book/1", request_id="b1")).status == 200
+    assert count_idle() >= idle - 1
