A stream without ids is not continued at another worker

Callers got events twice (1, 2, 1, 2, 3, 4 as whole) where a worker that sends no ids broke off: the next one was not told where to go on, and nothing compared. Such a response is now broken off, as no worker can know what the caller has. Found by a review; the platform's workers number their events.

test_a_stream_without_ids_is_not_continued failed before.

--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -74,6 +74,9 @@
         """Whether a retry is allowed after the request may have run."""
         if self.stream is not None and not self.stream.can_continue:
             return False
+        if self.events and self.sequence.last is None:
+            # Without ids, a worker cannot be told where to go on.
+            return False
         return self.route.repeatable or self.route.resumable
 
     @property
--- a/tests/platform/test_event_order.py
+++ b/tests/platform/test_event_order.py
@@ -124,3 +124,17 @@
     assert answer.is_complete
     (arrival,) = deployment.arrivals("p2")
     assert arrival.body == b"x" + join_events(4) + b"y"
+
+
+# Guards against events that come twice where nothing says which of them the caller has.
+async def test_a_stream_without_ids_is_not_continued(deployment):
+    async def script(worker, arrival, responder):
+        responder.start_stream(200, worker.sign(arrival.request_id))
+        await responder.write(b"data: word 1\n\n")
+        responder.abort()
+        return True
+
+    set_script(deployment, script)
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert (answer.body, answer.is_complete) == (b"data: word 1\n\n", False)
+    assert len(deployment.arrivals("p1")) == 1
