Soak: workers answer with a length, chunks or neither, and are killed in the middle of responses

A killed worker closes its listener and its connections in order, as the kernel does for SIGKILL, at a piece of a response or inside one, and another process with a new start time and the same or another version begins at its address. Streams of turns name their version too, and a stream that ended as complete must consist of whole events. The workers' scripts moved to tests/soak/workers.py.

The tests of the checks use the streams that workers send now; a stream joined from two versions was added to them.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,15 +9,19 @@
 from tests.soak.load import (
     DEADLINE_SECONDS,
     EVENT_TOKENS,
-    EVENTS_PER_STREAM,
     NOT_RUN_STATUSES,
     TURN_TOKENS,
     Attempt,
     Load,
-    make_complete_stream,
-    read_plan_events,
+    read_events,
 )
 from tests.soak.processes import CORE
+from tests.soak.workers import (
+    EVENTS_PER_STREAM,
+    VERSIONS,
+    join_stream_events,
+    make_complete_stream,
+)
 
 ROUTE_ATTEMPTS = {"chat": 1, "plan": 1, "book": 1, "ping": 3, "crash": 3}
 DEADLINE_SLACK_SECONDS = 0.5
@@ -25,6 +29,7 @@
 MAX_CRASH_RETRIES = 3
 # Time after a crash until all entries know of it.
 CRASH_SETTLE_SECONDS = 4.0
+COMPLETE_STREAMS = [make_complete_stream(version) for version in VERSIONS]
 EVENT_ID = re.compile(rb"id: (\d+)\n")
 
 
@@ -103,9 +108,9 @@
         elif attempt.kind in ("plan", "crash"):
             # These have checks of their own.
             continue
-        elif answer.is_complete and answer.body != make_complete_stream():
+        elif answer.is_complete and answer.body not in COMPLETE_STREAMS:
             yield f"ORDER: {attempt.id} ended as complete with {answer.body!r}"
-        elif not make_complete_stream().startswith(answer.body):
+        elif not any(stream.startswith(answer.body) for stream in COMPLETE_STREAMS):
             yield f"ORDER: {attempt.id} got {answer.body!r}"
 
 
@@ -217,9 +222,12 @@
     for stream_id, attempts in streams.items():
         events: list[tuple[int, str]] = []
         for attempt in attempts:
-            received = read_plan_events(attempt)
+            received = read_events(attempt)
             if received and received[0][0] != attempt.resume_after + 1:
                 yield f"ORDER: {attempt.id} begins with {received} after {attempt.resume_after}"
+            sent = join_stream_events(received)
+            if attempt.served and attempt.answer.body != sent:
+                yield f"ORDER: {attempt.id} ended as complete with {attempt.answer.body!r}"
             last = received[-1][0] if received else attempt.resume_after
             if attempt.served and last != EVENTS_PER_STREAM:
                 yield f"ORDER: {attempt.id} ended as complete with {attempt.answer.body!r}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,9 +19,10 @@
 from egretford.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from tests.platform.deployment import make_configuration
 from tests.platform.standins import WorkerStandin
-from tests.soak.load import CRASHING_BODY, Load
-from tests.soak.processes import CORE, Cluster, Disruption, Node
+from tests.soak.load import Load
+from tests.soak.processes import CORE, Cluster, Disruption, Kill, Node
 from tests.soak.proxy import Mode, Proxy
+from tests.soak.workers import CRASHING_BODY, EVENTS_PER_STREAM, VERSIONS
 
 CATCH_UP_SECONDS = 5.0
 # A new keeper spends some seconds on copying, and some more on waiting for unreachable keepers.
@@ -57,11 +58,14 @@
 KEEPER_FAULTS = ("keeper_replace", "keeper_slow_disk")
 # These have a series and generator of their own for the same reason.
 WORKER_FAULTS = ("worker_upgrade", "worker_silence", "crashing_request")
+KILL_FAULTS = ("worker_kill",)
 PLANNED = ("entry_term", "entry_hup", "configuration", "worker_leave")
 # How long a request that crashes workers is repeated.
 CRASHING_SECONDS = 12.0
 SHORT_PAUSE = (0.1, 1.2)
 LONG_PAUSE = (1.0, 6.0)
+# How long a kill waits for the response that it is planned at.
+KILL_TIMEOUT_SECONDS = 1.0
 
 
 @define
@@ -73,6 +77,7 @@
     rng: random.Random
     keeper_rng: random.Random
     worker_rng: random.Random
+    kill_rng: random.Random
     injected: Counter = Factory(Counter)
     problems: list[str] = Factory(list)
     _unavailable_keepers: set[str] = Factory(set)
@@ -85,6 +90,7 @@
             *(self._run_series(self.rng, FAULTS, seconds) for _ in range(3)),
             self._run_series(self.keeper_rng, KEEPER_FAULTS, seconds, LONG_PAUSE),
             *(self._run_series(self.worker_rng, (k,), seconds, LONG_PAUSE) for k in WORKER_FAULTS),
+            self._run_series(self.kill_rng, KILL_FAULTS, seconds),
         )
         await asyncio.gather(
             *(self._run_series(self.rng, PLANNED, PLANNED_SECONDS) for _ in range(2)),
@@ -177,30 +183,52 @@
             await self.cluster.remove_worker(worker, crash=crash)
         return True
 
-    def _choose_worker(self, upstream: str) -> WorkerStandin | None:
+    def _choose_worker(self, rng: random.Random, *upstreams: str) -> WorkerStandin | None:
         """Return a running worker that no other fault will restart, or None."""
         candidates = [
             worker
             for worker in self.cluster.workers
-            if worker.upstream == upstream
+            if worker.upstream in upstreams
             and ("servers", worker.id) in self.cluster.store.objects
             and worker.id not in self._reserved_names
             and worker not in self.cluster.ended_workers
         ]
-        return self.worker_rng.choice(candidates) if candidates else None
+        return rng.choice(candidates) if candidates else None
 
     async def _worker_upgrade(self) -> bool:
         """Restart a worker under its id with a new software version, which the list shows later."""
-        worker = self._choose_worker("models")
+        worker = self._choose_worker(self.worker_rng, "models")
         if worker is None:
             return False
         self._reserved_names.add(worker.id)
-        version = self.worker_rng.choice(("v1", "v2"))
+        version = self.worker_rng.choice(VERSIONS)
         lag = self.worker_rng.uniform(0.0, 1.0)
         await self.cluster.restart_worker(worker, version, delay=0.1, lag=lag)
         self._reserved_names.discard(worker.id)
         return True
 
+    async def _worker_kill(self) -> bool:
+        """Kill a worker's process in the middle of a response, and start another one in its place.
+
+        It may be killed before a piece of the response, inside one or between two.
+        """
+        rng = self.kill_rng
+        upstream = rng.choice(("models", "models", "booking"))
+        pieces = EVENTS_PER_STREAM if upstream == "models" else 1
+        number, part = rng.randint(1, pieces), rng.choice((0.0, 0.5, 1.0, 1.0))
+        version = rng.choice((None, *VERSIONS))
+        delay, lag = rng.uniform(0.02, 1.0), rng.uniform(0.0, 1.0)
+        worker = self._choose_worker(rng, upstream)
+        if worker is None:
+            return False
+        self._reserved_names.add(worker.id)
+        kill = Kill(worker, number, part)
+        killed = await self.cluster.kill_worker(
+            kill, KILL_TIMEOUT_SECONDS, version or worker.version, delay, lag
+        )
+        self._reserved_names.discard(worker.id)
+        return killed
+
     async def _worker_silence(self) -> bool:
         """Let a worker be silent for about a second, which costs no request its answer."""
         worker = self.worker_rng.choice(self.cluster.workers)
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import random
-import re
 
 from attrs import Factory, define
 
@@ -14,19 +13,16 @@
     ClientConnection,
     ConnectError,
 )
-from tests.platform.standins import Answer, Arrival, Caller, WorkerStandin, make_event
+from tests.platform.standins import Answer, Caller, WorkerStandin
 from tests.soak.processes import Cluster
+from tests.soak.workers import STREAM_EVENT, WorkerScript
 
-EVENTS_PER_STREAM = 4
 EVENT_TOKENS = 10
 TURN_TOKENS = 50
 RETENTION_SECONDS = 60.0
 CONNECT_TIMEOUT_SECONDS = 1.0
 DEADLINE_SECONDS = 3.0
 MAX_RESUMPTIONS = 4
-# Begins the body of requests that crash each worker that runs them.
-CRASHING_BODY = b"crash-"
-PLAN_EVENT = re.compile(rb"id: (\d+)\ndata: word \d+ (\S+)\n\n")
 # Statuses that guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({402, 404, 408, 421, 429, 503})
 
@@ -93,42 +89,10 @@
 
     def set_worker_script(self, worker: WorkerStandin) -> None:
         """Make a worker delay its answers and sometimes break them off."""
-        rng = random.Random(self.rng.random())
-
-        async def delay_or_fail(worker: WorkerStandin, arrival: Arrival, responder) -> bool:
-            if arrival.body.startswith(CRASHING_BODY):
-                self.cluster.crash_worker(worker, arrival.body)
-                return True
-            await self.cluster.wait_while_silent(worker.id)
-            draw = rng.random()
-            if draw < 0.01:
-                responder.abort()
-                return True
-            await asyncio.sleep(rng.uniform(0.0, 0.03))
-            upto = rng.randint(1, EVENTS_PER_STREAM) if worker.engine and draw < 0.03 else None
-            if arrival.http.path.startswith(b"/plan/"):
-                await self._stream_plan(worker, arrival, responder, upto)
-                return True
-            if upto is not None:
-                await worker.stream(arrival, responder, upto=upto)
-                return True
-            return False
-
-        worker.script = delay_or_fail
-
-    async def _stream_plan(self, worker, arrival: Arrival, responder, upto: int | None) -> None:
-        """Stream events that name the worker's version, with pauses; abort before event `upto`."""
-        first = int(arrival.headers.get_text(b"Last-Event-Id") or 0) + 1
-        responder.start_stream(200, worker.sign(arrival.request_id))
-        for number in range(first, EVENTS_PER_STREAM + 1):
-            if number == upto:
-                responder.abort()
-                return
-            await self.cluster.wait_while_silent(worker.id)
-            await responder.write(make_plan_event(number, worker.version))
-            await asyncio.sleep(0.02)
-        responder.finish_stream()
-        arrival.completed = True
+        seed = self.rng.random()
+        worker.script = WorkerScript(
+            self.cluster, random.Random(seed), random.Random(f"framing {seed}")
+        )
 
     async def stop(self) -> None:
         self.stopping = True
@@ -173,7 +137,7 @@
     async def _send_plan(self, chain: Chain, connections: dict[str, ClientConnection]) -> None:
         """Send a stream that may be resumed, and go on from its last event where it breaks off."""
         first = attempt = await self.send_request(chain, "plan", connections)
-        events = read_plan_events(attempt)
+        events = read_events(attempt)
         for _ in range(MAX_RESUMPTIONS):
             if attempt.served:
                 return
@@ -182,7 +146,7 @@
             attempt = await self.send_request(chain, "plan", resumed=resumed)
             if resumed is None:
                 first = attempt
-            events += read_plan_events(attempt)
+            events += read_events(attempt)
 
     async def send_crashing(self, body: bytes, seconds: float) -> None:
         """Repeat a request that crashes each worker that runs it."""
@@ -261,18 +225,8 @@
     return b"".join(line.removeprefix(b"data: ") + b"\n" for line in lines)
 
 
-def make_plan_event(number: int, version: str) -> bytes:
-    """Return one event of a stream that may be resumed; it names the version that made it."""
-    return b"id: %d\ndata: word %d %s\n\n" % (number, number, version.encode())
-
-
-def read_plan_events(attempt: Attempt) -> list[tuple[int, str]]:
+def read_events(attempt: Attempt) -> list[tuple[int, str]]:
     """Return the number and the version of each event that an attempt's caller received."""
     if attempt.answer is None or attempt.answer.status != 200:
         return []
-    return [(int(n), v.decode()) for n, v in PLAN_EVENT.findall(attempt.answer.body)]
-
-
-def make_complete_stream() -> bytes:
-    """Return the complete stream of events that a worker sends."""
-    return b"".join(make_event(number) for number in range(1, EVENTS_PER_STREAM + 1))
+    return [(int(n), v.decode()) for n, v in STREAM_EVENT.findall(attempt.answer.body)]
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -66,6 +66,19 @@
         return near and self.target in targets
 
 
+@define(eq=False)
+class Kill:
+    """A planned end of a worker's process: at a piece of a response, after a part of the piece.
+
+    `struck` is set once the process was killed.
+    """
+
+    worker: WorkerStandin
+    number: int
+    part: float
+    struck: asyncio.Event = Factory(asyncio.Event)
+
+
 @define(eq=False)
 class Node:
     """A keeper or entry process and the proxy through which others reach it."""
@@ -163,6 +176,7 @@
     ended_workers: set[WorkerStandin] = Factory(set)
     _tasks: set[asyncio.Task] = Factory(set)
     _silent: dict[str, asyncio.Event] = Factory(dict)
+    _kills: list[Kill] = Factory(list)
     version: int = 3
 
     async def start(self) -> None:
@@ -231,16 +245,67 @@
         proxy.reset()
         await worker.close()
         await asyncio.sleep(delay)
+        new = await self._start_process(worker, version)
+        proxy.target, proxy.mode = new.address, Mode.PASS
+        await asyncio.sleep(lag)
+        self._list_process(new)
+
+    async def _start_process(self, worker: WorkerStandin, version: str) -> WorkerStandin:
         new = WorkerStandin(worker.id, worker.upstream, worker.zone, engine=worker.engine)
         new.version, new.born = version, worker.born + 1
         await new.start()
         new.script = worker.script
         self.workers.append(new)
-        proxy.target, proxy.mode = new.address, Mode.PASS
-        await asyncio.sleep(lag)
+        return new
+
+    def _list_process(self, worker: WorkerStandin) -> None:
         if ("servers", worker.id) in self.store.objects:
-            description = {**new.describe(), "address": proxy.address}
-            self.store.put("servers", worker.id, description)
+            address = self.worker_proxies[worker.id].address
+            self.store.put("servers", worker.id, {**worker.describe(), "address": address})
+
+    async def kill_worker(
+        self, kill: Kill, timeout: float, version: str, delay: float, lag: float
+    ) -> bool:
+        """Kill a worker as planned, or after `timeout` s, and start another one at its address.
+
+        The list shows the new process `lag` s later. Returns False if the worker ended by itself.
+        """
+        loop = asyncio.get_running_loop()
+        worker, proxy = kill.worker, self.worker_proxies[kill.worker.id]
+        self._kills.append(kill)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(kill.struck.wait(), timeout)
+        if kill in self._kills:
+            self._kills.remove(kill)
+        if not kill.struck.is_set() and not self.strike(worker, kill):
+            return False
+        started = loop.time()
+        await worker.close()
+        await asyncio.sleep(delay)
+        new = await self._start_process(worker, version)
+        proxy.target = new.address
+        await proxy.restart()
+        await asyncio.sleep(lag)
+        self._list_process(new)
+        self.disruptions.append(Disruption(worker.id, started, loop.time()))
+        return True
+
+    def take_kill(self, worker: WorkerStandin, number: int) -> Kill | None:
+        """Return the kill that is planned for a piece of a worker's response, once."""
+        for kill in self._kills:
+            if kill.worker is worker and kill.number == number:
+                self._kills.remove(kill)
+                return kill
+        return None
+
+    def strike(self, worker: WorkerStandin, kill: Kill) -> bool:
+        """Kill a worker's process, unless it has ended."""
+        if worker in self.ended_workers:
+            return False
+        self.ended_workers.add(worker)
+        self.worker_proxies[worker.id].kill()
+        kill.struck.set()
+        return True
 
     async def silence_worker(self, worker_id: str, seconds: float) -> None:
         """Let a worker neither answer nor go on for some seconds; nothing is lost."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -26,7 +26,11 @@
 
 
 class Proxy:
-    """Forwards connections to `target`; bytes held back are sent when the mode changes."""
+    """Forwards connections to `target`; bytes held back are sent when the mode changes.
+
+    `kill` and `restart` make it look from outside like a process killed by SIGKILL, and another one
+    started at its address.
+    """
 
     def __init__(self, target: str) -> None:
         self.target = target
@@ -34,18 +38,44 @@
         self.delay = 0.1
         self.passed = 0
         self._server: asyncio.Server | None = None
+        self._address = ""
+        self._next_socket: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
 
     @property
     def address(self) -> str:
-        return "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+        return self._address
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0, backlog=512)
+        self._address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+
+    def kill(self) -> None:
+        """Close the listener and all connections as the kernel does for a killed process.
+
+        Its peers get a FIN, or a reset where unread bytes wait; what was not sent yet is lost. The
+        port is held without listening, so that connections to it are refused.
+        """
+        self._server.close()
+        self._next_socket = socket.socket()
+        self._next_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        host, _, port = self._address.rpartition(":")
+        self._next_socket.bind((host, int(port)))
+        for writer in list(self._writers):
+            writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def restart(self) -> None:
+        """Listen at the same address again."""
+        self._server = await asyncio.start_server(self._accept, sock=self._next_socket, backlog=512)
+        self._next_socket = None
 
     async def close(self) -> None:
         self._server.close()
+        if self._next_socket is not None:
+            self._next_socket.close()
         for task in self._tasks:
             task.cancel()
         self.reset()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -88,7 +88,7 @@
         load = Load(cluster, random.Random(rng.random()))
         load.start(PROGRAMS[size])
         generators = [random.Random(rng.random()) for _ in range(3)]
-        faults = Faults(cluster, load, *generators)
+        faults = Faults(cluster, load, *generators, random.Random(f"kills {seed}"))
         await faults.run(seconds)
         report.injected = faults.injected
         ended_at = asyncio.get_running_loop().time()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,12 +10,13 @@
 import pytest
 
 from egretford.http.messages import Headers, HttpRequest
-from tests.platform.standins import Answer, Arrival, WorkerStandin, make_event
+from tests.platform.standins import Answer, Arrival, WorkerStandin
 from tests.soak import checks
-from tests.soak.load import Attempt, Chain, Load, make_complete_stream, make_plan_event
+from tests.soak.load import Attempt, Chain, Load
 from tests.soak.processes import CORE, Cluster, Disruption, Node
 from tests.soak.run import Size, continue_chains, run_seed
 from tests.soak.slow_disk import SYNC_DELAY_FILE, delay_syncs
+from tests.soak.workers import join_stream_events, make_complete_stream, make_stream_event
 
 CI_SECONDS = 6.0
 # Seeds that once violated a guarantee: (seed, seconds, large, cause).
@@ -54,8 +55,12 @@
 
 # Guards against stream checks that compare with a stream that workers never send.
 def test_the_expected_stream_is_what_workers_send():
-    assert make_complete_stream() == b"".join(make_event(number) for number in range(1, 5))
-    assert make_event(1) in make_complete_stream()
+    events = [make_stream_event(number, "v1") for number in range(1, 5)]
+    assert make_complete_stream() == b"".join(events)
+    assert events[0] == b"id: 1\ndata: word 1 v1\n\n"
+
+
+JOINED_STREAM = make_complete_stream("v1")[:50] + make_complete_stream("v2")[50:]
 
 
 def make_attempt(kind="chat", status=200, body=None, **fields) -> Attempt:
@@ -77,8 +82,9 @@
         (checks.check_promised_refusals, make_attempt("book", 402), make_arrivals(b"")),
         (checks.check_bodies, make_attempt(expected_body=b"a b"), make_arrivals(b"b")),
         (checks.check_answers, make_attempt("ping", body=b"done r2"), make_arrivals()),
-        (checks.check_answers, make_attempt(body=make_event(1)), make_arrivals()),
-        (checks.check_answers, make_attempt(body=make_event(2)), make_arrivals()),
+        (checks.check_answers, make_attempt(body=make_stream_event(1, "v1")), make_arrivals()),
+        (checks.check_answers, make_attempt(body=make_stream_event(2, "v1")), make_arrivals()),
+        (checks.check_answers, make_attempt(body=JOINED_STREAM), make_arrivals()),
         (checks.check_known_turns, make_attempt(status=404), make_arrivals()),
     ],
 )
@@ -98,7 +104,9 @@
 # Guards against a soak that does not report as LOST the answers that are closed midway around
 # planned work, as while a keeper was replaced (incident report docs/incidents/inc1.md).
 def test_the_check_of_ended_answers_goes_red():
-    attempt = make_attempt(body=make_event(1), entry="entry-1", sent_at=10.0, ended_at=10.5)
+    attempt = make_attempt(
+        body=make_stream_event(1, "v1"), entry="entry-1", sent_at=10.0, ended_at=10.5
+    )
     attempt.answer.is_complete = False
     arrivals = make_arrivals(b"")
     load = Load(Cluster(None), None, attempts=[attempt])
@@ -240,10 +248,6 @@
     assert bool(list(checks.check_crashing_requests(load, make_arrivals(b"crash-1")))) is red
 
 
-def join_plan(*events: tuple[int, str]) -> bytes:
-    return b"".join(make_plan_event(number, version) for number, version in events)
-
-
 # Guards against a soak that overlooks streams whose pieces are missing, doubled or of two runs.
 @pytest.mark.parametrize(
     ("first", "rest", "red"),
@@ -257,9 +261,11 @@
     ],
 )
 def test_the_check_of_resumed_streams_goes_red(first, rest, red):
-    began = make_attempt("plan", body=join_plan(*first))
+    began = make_attempt("plan", body=join_stream_events(first))
     began.answer.is_complete = False
-    resumed = make_attempt("plan", body=join_plan(*rest), resumes="r1", resume_after=first[-1][0])
+    resumed = make_attempt(
+        "plan", body=join_stream_events(rest), resumes="r1", resume_after=first[-1][0]
+    )
     resumed.id = "r2"
     load = make_run_load(began, resumed)
     assert bool(list(checks.check_resumed_streams(load, make_arrivals()))) is red
