--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import os
+import random
 import time
 from collections import defaultdict
 
 import pytest
 
 from egretford.http.messages import Headers, HttpRequest
-from tests.platform.standins import Answer, Arrival, WorkerStandin
+from tests.platform.standins import Answer, Arrival, Caller, WorkerStandin
 from tests.soak import checks
-from tests.soak.load import Attempt, Chain, Load
-from tests.soak.processes import CORE, Cluster, Disruption, Node
+from tests.soak.load import Attempt, Chain, Load, extract_data_lines
+from tests.soak.processes import CORE, Cluster, Disruption, Kill, Node
 from tests.soak.run import Size, continue_chains, run_seed
 from tests.soak.slow_disk import SYNC_DELAY_FILE, delay_syncs
 from tests.soak.workers import join_stream_events, make_complete_stream, make_stream_event
@@ -271,6 +273,57 @@
     assert bool(list(checks.check_resumed_streams(load, make_arrivals()))) is red
 
 
+# Guards against a soak that overlooks a turn that was kept without its end.
+@pytest.mark.parametrize(
+    ("received", "history", "red"),
+    [
+        (0, make_complete_stream("v2"), False),
+        (1, make_complete_stream("v1"), False),
+        (1, make_complete_stream("v2"), True),
+        (1, make_stream_event(1, "v1"), True),
+        (0, JOINED_STREAM, True),
+    ],
+)
+def test_the_check_of_broken_turns_goes_red(received, history, red):
+    body = join_stream_events((n + 1, "v1") for n in range(received))
+    broken = make_attempt(body=body, expected_body=b"in ")
+    broken.id, broken.answer.is_complete = "r0", False
+    attempt = make_attempt(expected_body=b"more ", broken=broken, previous="r0")
+    arrivals = make_arrivals(b"in " + extract_data_lines(history) + b"more ")
+    load = make_run_load(broken, attempt)
+    assert bool(list(checks.check_broken_turns(load, arrivals))) is red
+
+
+# Guards against kills that do not look like SIGKILL: connections end in order, and others are
+# refused until a process listens at the same address.
+async def test_a_killed_worker_closes_in_order_and_starts_again_at_its_address():
+    cluster = Cluster(None)
+    await cluster.store.start()
+    await cluster.add_worker("w", "models", "z")
+    worker, proxy = cluster.workers[0], cluster.worker_proxies["w"]
+    Load(cluster, random.Random(0)).set_worker_script(worker)
+    kill = Kill(worker, 2, 0.5)
+    killed = asyncio.create_task(cluster.kill_worker(kill, 5.0, "v2", delay=0.2, lag=0.0))
+    await asyncio.sleep(0)
+    reader, writer = await asyncio.open_connection(*proxy.address.split(":"))
+    writer.write(b"POST /plan/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+    answer = await reader.read()
+    assert make_stream_event(1, "v1") in answer and b"\n\nid: 2" in answer.replace(b"\r\n", b"")
+    assert make_stream_event(2, "v1") not in answer
+    with pytest.raises(ConnectionRefusedError):
+        await asyncio.open_connection(*proxy.address.split(":"))
+    assert await killed
+    assert [d.target for d in cluster.disruptions] == ["w"]
+    spec = cluster.store.objects["servers", "w"]["spec"]
+    assert (spec["address"], spec["version"], spec["born"]) == (proxy.address, "v2", 1001)
+    again = await Caller(proxy.address).ask("/plan/1")
+    assert (again.body, again.is_complete) == (make_complete_stream("v2"), True)
+    writer.close()
+    await cluster.workers[-1].close()
+    await proxy.close()
+    await cluster.store.close()
+
+
 def test_the_check_of_lasting_turns_goes_red():
     assert checks.check_continued_turns(None, {"t1": 503, "t2": 200}) == [
         "LOST: the turn t1 cannot be continued: 503"
