--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -259,7 +259,8 @@
         return new
 
     def _list_process(self, worker: WorkerStandin) -> None:
-        if ("servers", worker.id) in self.store.objects:
+        # A request may have crashed the new process meanwhile.
+        if ("servers", worker.id) in self.store.objects and worker not in self.ended_workers:
             address = self.worker_proxies[worker.id].address
             self.store.put("servers", worker.id, {**worker.describe(), "address": address})
 
