Limit the framing of a request after its head

A caller that sent chunk sizes, chunk extensions or trailers without end was read until its body was late, 18 s at least. They also became header fields of a request whose head had been checked.

Only the head and the body had limits. Bytes after the head that are no body are now counted as on the client's side, by the same class; over 64 KiB beyond 16 per byte of the body, the request is refused with 431, logged, and its connection closed. Trailers are ignored.

--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -14,6 +14,7 @@
 from attrs import frozen
 
 from egretford.errors import EgretfordError
+from egretford.http.framing import FramingCounter
 from egretford.http.messages import Headers, ResponseHead, encode_head
 from egretford.timeouts import ReplyTimeout
 
@@ -30,11 +31,8 @@
 HIGH_WATER_BYTES = 262_144
 # Approximate memory of an unread event besides its body, so that many small events count too.
 EVENT_BYTES = 128
-# Limit on framing: bytes outside of bodies, such as heads, chunk sizes and trailers. Workers send
-# some hundred per response.
+# Limit on the framing of a response, in bytes. Workers send some hundred.
 MAX_FRAMING_BYTES = 65_536
-# Framing bytes allowed per body byte in addition; chunks of one byte need five.
-FRAMING_PER_BODY_BYTE = 16
 
 
 class ConnectError(EgretfordError):
@@ -121,7 +119,7 @@
         self._message_started = False
         self._in_body = False
         self._ends_with_connection = False
-        self._framing_bytes = 0
+        self._framing = FramingCounter(MAX_FRAMING_BYTES)
         self._body_bytes = 0
         self._chunks: list[bytes] = []
 
@@ -188,7 +186,7 @@
         """Send a complete, encoded request; its response can be read from then on."""
         self._awaiting_response = True
         self._received_any = False
-        self._framing_bytes = 0
+        self._framing.reset()
         self._transport.write(data)
 
     async def read(self) -> ResponseEvent:
@@ -257,7 +255,10 @@
             return
         if self._chunks:
             self._emit_body()
-        self._count_framing(len(data), self._body_bytes - body_before)
+        if self._framing.exceeds_limit(len(data), self._body_bytes - body_before):
+            reason = f"over {MAX_FRAMING_BYTES} bytes that are no body"
+            self._fail(reason, ResponseTooLargeError)
+            self.close()
         if self._buffered_bytes > HIGH_WATER_BYTES and not self._closed:
             self._transport.pause_reading()
         self._wake_reader()
@@ -331,15 +332,6 @@
         self._buffered_bytes += _estimate_size(event)
         self._events.append(event)
 
-    def _count_framing(self, received: int, body: int) -> None:
-        """Count framing bytes as received minus body bytes, as the parser reports few of them."""
-        allowed = body * (1 + FRAMING_PER_BODY_BYTE)
-        self._framing_bytes = max(0, self._framing_bytes + received - allowed)
-        if self._framing_bytes > MAX_FRAMING_BYTES:
-            reason = f"over {MAX_FRAMING_BYTES} bytes that are no body"
-            self._fail(reason, ResponseTooLargeError)
-            self.close()
-
     def _fail(
         self, reason: str, failure_type: type[BrokenResponseError] = BrokenResponseError
     ) -> None:
--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -11,6 +11,7 @@
 
 from egretford.clock import Clock
 from egretford.http.client import set_socket_options
+from egretford.http.framing import FramingCounter
 from egretford.http.limits import RequestLimits
 from egretford.http.messages import (
     LAST_CHUNK,
@@ -25,7 +26,8 @@
 BACKLOG = 1_024
 # Requests that one connection may send without waiting for the responses.
 MAX_PIPELINED = 16
-
+# Limit on the framing of a request after its head, such as chunk sizes and trailers, in bytes.
+MAX_FRAMING_BYTES = 65_536
 
 Handler = Callable[[HttpRequest, "Responder"], Awaitable[None]]
 
@@ -210,6 +212,8 @@
             self._begin_reading()
         if not self._head_done:
             self._head_bytes += len(data)
+        framing = self._framing if self._head_done else None
+        body_before = self._body_size
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -218,6 +222,11 @@
             self._refuse(400, f"malformed request: {error}")
         if not self._head_done and self._head_bytes > self._server.limits.header_bytes:
             self._refuse(431, f"the header exceeds {self._server.limits.header_bytes} bytes")
+        # A request that began with these bytes has a counter of its own.
+        if framing is self._framing and framing.exceeds_limit(
+            len(data), self._body_size - body_before
+        ):
+            self._refuse(431, f"over {MAX_FRAMING_BYTES} bytes after the head that are no body")
 
     def pause_writing(self) -> None:
         """Make `drain` wait: the write buffer is full."""
@@ -239,8 +248,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        self._headers.add(name, value)
+        """Add a header field; the parser also reports trailers here, which are ignored."""
+        if not self._head_done:
+            self._headers.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Check Host, framing and size; ambiguous lengths would allow request smuggling."""
@@ -360,6 +370,7 @@
         self._target = bytearray()
         self._headers = Headers()
         self._body: list[bytes] = []
+        self._framing = FramingCounter(MAX_FRAMING_BYTES)
         self._body_size = 0
         self._head_bytes = 0
         self._head_done = False
