--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -273,7 +273,7 @@
         if self._body_size > self._server.limits.body_bytes:
             self._refuse(413, f"the body exceeds {self._server.limits.body_bytes} bytes")
             return
-        self._body.append(bytes(data))
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Queue the complete request; requests on one connection are handled in order."""
@@ -284,7 +284,7 @@
                 self._parser.get_method(),
                 bytes(self._target),
                 self._headers,
-                b"".join(self._body),
+                bytes(self._body),
                 self._parser.should_keep_alive(),
                 self._server.clock.monotonic(),
                 self.peer,
@@ -369,7 +369,7 @@
     def _reset_request(self) -> None:
         self._target = bytearray()
         self._headers = Headers()
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._framing = FramingCounter(MAX_FRAMING_BYTES)
         self._body_size = 0
         self._head_bytes = 0
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -87,6 +87,25 @@
         assert not server.connections
 
 
+# Guards against a body within the limit that takes many times its size in small chunks.
+async def test_a_body_in_small_chunks_takes_little_more_memory_than_its_size():
+    body = b"xy" * 1_000_000
+    bodies = []
+
+    async def keep(http, responder):
+        bodies.append(http.body)
+        responder.send_response(200, Headers(), b"ok")
+
+    async with run_server(keep) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        chunks = b"2\r\nxy\r\n" * (len(body) // 2) + b"0\r\n\r\n"
+        with assert_memory_below(len(body) * 4 + len(chunks)):
+            writer.write(CHUNKED + chunks)
+            await asyncio.wait_for(reader.readuntil(b"ok"), 5.0)
+        writer.close()
+    assert bodies == [body]
+
+
 # Guards against trailers that change the fields of a request whose head was already checked.
 async def test_trailers_do_not_become_header_fields():
     requests = []
