Serve the next request of a connection once the response before it is read

A caller that sent requests on one connection and read nothing made the entry keep all responses: in the test all of 200 responses of 500 kB, without a limit but the caller's own number of requests.

A complete response is written without waiting for room, and the next request was handled at once. It now waits until the write buffer has room, as parts of a stream did already. Meanwhile the limit on requests sent ahead applies, whose refusal ends the wait and closes the connection.

--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -319,6 +319,7 @@
         responder = Responder(self, request.keep_alive)
         try:
             await self._server.handle(request, responder)
+            await self._wait_until_read()
         except CallerGoneError:
             self._server.log.info("caller disconnected during the response", peer=self.peer)
         except asyncio.CancelledError:
@@ -353,6 +354,7 @@
             self._send_refusal(status, reason)
         else:
             self.close_after_response = True
+            self._wake_writer()
 
     def _send_refusal(self, status: int, reason: str) -> None:
         body = reason.encode() + b"\n"
@@ -410,11 +412,19 @@
     async def drain(self) -> None:
         """Wait until the write buffer has room; raises CallerGoneError."""
         while self._write_paused and not self.closed:
-            self._drain_waiter = asyncio.get_running_loop().create_future()
-            await self._drain_waiter
+            await self._wait_for_change()
         if self.closed:
             raise CallerGoneError("the caller closed its connection")
 
+    async def _wait_until_read(self) -> None:
+        """Wait until the write buffer has room for another response, if one may follow."""
+        while self._write_paused and not self.closed and not self.close_after_response:
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        self._drain_waiter = asyncio.get_running_loop().create_future()
+        await self._drain_waiter
+
     def _wake_writer(self) -> None:
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_result(None)
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -121,3 +121,27 @@
         writer.close()
     assert requests[0].body == b"x"
     assert requests[0].headers.get(b"x") is None
+
+
+# Guards against responses that pile up for a caller that sends requests and reads nothing, and
+# against a connection that it holds for good.
+async def test_unread_responses_hold_up_the_requests_after_them():
+    served = 0
+
+    async def answer(http, responder):
+        nonlocal served
+        served += 1
+        responder.send_response(200, Headers(), b"x" * 500_000)
+
+    async with run_server(answer) as server:
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.transport.pause_reading()
+        with assert_memory_below(8_000_000):
+            for _ in range(200):
+                writer.write(GET)
+                await asyncio.sleep(0.002)
+            assert served < 30
+            async with asyncio.timeout(6.0):
+                while server.connections:
+                    await asyncio.sleep(0.1)
+        writer.transport.abort()
