Leave bodies that are sent ahead with their caller

A caller that sent requests ahead on one connection could make an entry keep 16 bodies of 4 MB besides the one in work, 68 MB of a memory that may be 128 MB.

Only their number was limited. Once bodies sent ahead exceed the limit on one body, the connection is not read until the request in work is answered; the time for a request starts anew then.

--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -166,6 +166,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
+        self._read_paused = False
         self._refused = False
         self.closed = False
         self.close_after_response = False
@@ -227,6 +228,7 @@
             len(data), self._body_size - body_before
         ):
             self._refuse(431, f"over {MAX_FRAMING_BYTES} bytes after the head that are no body")
+        self._update_reading()
 
     def pause_writing(self) -> None:
         """Make `drain` wait: the write buffer is full."""
@@ -303,6 +305,7 @@
     def _serve_next(self) -> None:
         if self._requests and not self.closed:
             request = self._requests.popleft()
+            self._update_reading()
             self._task = asyncio.get_running_loop().create_task(self._serve(request))
         elif self._reading:
             self._answer_expectation()
@@ -366,6 +369,24 @@
         self.write(encode_head(encode_status_line(status), fields) + body)
         self.close()
 
+    def _update_reading(self) -> None:
+        """Read no further while requests sent ahead have larger bodies than one request may have.
+
+        The end of the connection is not noticed meanwhile.
+        """
+        waiting = sum(len(request.body) for request in self._requests)
+        paused = waiting > 0 and waiting + self._body_size > self._server.limits.body_bytes
+        if paused == self._read_paused or self.closed or self._refused:
+            return
+        self._read_paused = paused
+        if paused:
+            self._transport.pause_reading()
+            self._cancel_timer()
+            return
+        self._transport.resume_reading()
+        if self._reading:
+            self._set_timer(self._server.limits.header_timeout, self._handle_read_timeout)
+
     # Timers and writing
 
     def _reset_request(self) -> None:
--- a/tests/http/test_endless_requests.py
+++ b/tests/http/test_endless_requests.py
@@ -145,3 +145,28 @@
                 while server.connections:
                     await asyncio.sleep(0.1)
         writer.transport.abort()
+
+
+# Guards against many large bodies that are kept while the request before them is handled.
+async def test_bodies_sent_ahead_wait_at_the_caller():
+    release = asyncio.Event()
+    bodies = []
+
+    async def wait(http, responder):
+        await release.wait()
+        bodies.append(len(http.body))
+        responder.send_response(200, Headers(), b"ok")
+
+    size = 3_000_000
+    request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size
+    async with run_server(wait) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(request * 10)
+        await asyncio.sleep(0.5)
+        # The server has read less than half of what was sent.
+        assert writer.transport.get_write_buffer_size() > 5 * size
+        release.set()
+        for _ in range(10):
+            await asyncio.wait_for(reader.readuntil(b"ok"), 2.0)
+        writer.close()
+    assert bodies == [size] * 10
