Close a connection on which a peer sends frames that answer nothing

An entry that got replies without end from a keeper, to no request, read and ignored all of them on a connection that stayed open. A frame of empty arrays took 64 times its size when it was decoded, up to 1 GB for one of 16 MB, and a keeper answered requests without end that had no message.

A reply was only looked up by its number, and any MessagePack value passed for a frame. More replies than requests now end the connection, late replies included in the count; so does a frame that is not a number and bytes, which is found out before larger values are built. Each is logged with the peer's address and the reason. What is sent has not changed.

--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -58,7 +58,7 @@
         self._health = StoreHealth(clock, self._make_logger("store"))
         self._dialer = WorkerDialer(clock, metrics, self._make_logger("dialing"))
         self.workers = WorkerTable(clock, self._health, self._dialer, self._make_logger("workers"))
-        self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
+        self._peers = StreamPeerClient(KeeperRequest, KeeperReply, self._make_logger("peer"))
         self._keepers = KeeperClient(
             self._peers,
             StoredView(self._store).read,
@@ -109,7 +109,7 @@
         )
         self.gateway.attach_server(self._caller_server)
         feed_log = self._make_logger("feeds")
-        self._relays = StreamPeerClient(KeeperRequest, KeeperReply)
+        self._relays = StreamPeerClient(KeeperRequest, KeeperReply, self._make_logger("peer"))
         source = RelayedStore(
             self._store,
             self._relays,
--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -62,7 +62,7 @@
             self._make_logger("service"),
             settings.regions,
         )
-        self._peers = StreamPeerClient(KeeperRequest, KeeperReply)
+        self._peers = StreamPeerClient(KeeperRequest, KeeperReply, self._make_logger("peer"))
         self._server = StreamPeerServer(
             f"tcp://{settings.peer_address}",
             self._answer,
--- a/egretford/peer/streams.py
+++ b/egretford/peer/streams.py
@@ -3,102 +3,44 @@
 Used where the threads of pynng cost too much: a keeper answers some hundred requests per second
 on a fraction of a core. After a request times out, the client opens a new connection for later
 requests, as an open connection may have stopped delivering data.
-
-A frame is a length (4 bytes, big-endian) and a MessagePack array of a request number and an
-encoded message; a reply carries the number of its request.
 """
 
 from __future__ import annotations
 
 import asyncio
 import itertools
-import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import msgpack
 from attrs import Factory, define, field
 
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.controllers.loops import TaskGroup
 from egretford.errors import ErrorKind, PeerUnreachableError, RequestError, Verdict
-from egretford.http.client import set_socket_options
 from egretford.models import ErrorReply
+from egretford.peer.frames import FrameProtocol
 from egretford.timeouts import ReplyTimeout
 
-LENGTH = struct.Struct(">I")
-MAX_FRAME_BYTES = 16_000_000
 CONNECT_TIMEOUT_SECONDS = 0.5
 
 Handler = Callable[[Any], Awaitable[Any]]
 
 
-class _FrameProtocol(asyncio.Protocol):
-    """Splits the received bytes into frames, and writes frames to the connection."""
-
-    def __init__(self, on_frame: Callable[[_FrameProtocol, int, bytes], None]) -> None:
-        self._on_frame = on_frame
-        self._buffer = bytearray()
-        self.transport: asyncio.Transport | None = None
-        self.closed = False
-        self.on_disconnect: Callable[[], None] | None = None
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Store the transport and set the socket options."""
-        self.transport = transport
-        set_socket_options(transport)
-
-    def data_received(self, data: bytes) -> None:
-        """Pass on each complete frame; an oversized or malformed one closes the connection."""
-        buffer = self._buffer
-        buffer += data
-        while len(buffer) >= LENGTH.size:
-            (size,) = LENGTH.unpack_from(buffer)
-            if size > MAX_FRAME_BYTES:
-                self.close()
-                return
-            if len(buffer) < LENGTH.size + size:
-                return
-            frame = bytes(buffer[LENGTH.size : LENGTH.size + size])
-            del buffer[: LENGTH.size + size]
-            try:
-                number, payload = msgpack.unpackb(frame)
-            except (ValueError, TypeError):
-                self.close()
-                return
-            self._on_frame(self, number, payload)
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Mark the connection closed and call `on_disconnect`."""
-        self.closed = True
-        if self.on_disconnect is not None:
-            self.on_disconnect()
-
-    def send(self, number: int, payload: bytes) -> None:
-        """Write one frame; `payload` is an encoded message."""
-        frame = msgpack.packb((number, payload))
-        self.transport.write(LENGTH.pack(len(frame)) + frame)
-
-    def close(self) -> None:
-        """Abort the connection, discarding unsent data."""
-        if self.transport is not None and not self.closed:
-            self.closed = True
-            self.transport.abort()
-
-
 @define(eq=False)
 class _Link:
     """A client connection to one peer, with its pending requests by number.
 
-    Once replaced, it gets no new requests, and is closed when no request is pending.
+    Once replaced, it gets no new requests, and is closed when no request is pending. `due` is the
+    number of replies that the peer still may send, including late ones.
     """
 
-    connect_task: asyncio.Task[_FrameProtocol] = field(init=False)
+    connect_task: asyncio.Task[FrameProtocol] = field(init=False)
     waiting: dict[int, asyncio.Future[bytes]] = Factory(dict)
+    due: int = 0
     replaced: bool = False
 
     @property
-    def protocol(self) -> _FrameProtocol | None:
+    def protocol(self) -> FrameProtocol | None:
         """The connection, or None while it is connecting or if that failed."""
         connected = self.connect_task.done() and not self.connect_task.cancelled()
         return (
@@ -107,8 +49,15 @@
             else None
         )
 
-    def deliver_reply(self, number: int, payload: bytes) -> None:
-        """Resolve the pending request with this number; a late reply is ignored."""
+    def deliver_reply(self, protocol: FrameProtocol, number: int, payload: bytes) -> None:
+        """Resolve the pending request with this number; a late reply is ignored.
+
+        A peer that sends more replies than it got requests loses its connection.
+        """
+        self.due -= 1
+        if self.due < 0:
+            protocol.reject("more replies than requests")
+            return
         future = self.waiting.get(number)
         if future is not None and not future.done():
             future.set_result(payload)
@@ -143,9 +92,10 @@
     `requests` and `replies` are the tagged unions used to encode and decode the messages.
     """
 
-    def __init__(self, requests: Any, replies: Any) -> None:
+    def __init__(self, requests: Any, replies: Any, log: Any) -> None:
         self._requests = requests
         self._replies = replies
+        self._log = log
         self._links: dict[str, _Link] = {}
         self._open_links: set[_Link] = set()
         self._request_numbers = itertools.count(1)
@@ -211,14 +161,12 @@
             self._links[address] = link
         return link
 
-    async def _connect(self, address: str, link: _Link) -> _FrameProtocol:
+    async def _connect(self, address: str, link: _Link) -> FrameProtocol:
         host, _, port = address.removeprefix("tcp://").rpartition(":")
         loop = asyncio.get_running_loop()
         async with ReplyTimeout(CONNECT_TIMEOUT_SECONDS):
             _, protocol = await loop.create_connection(
-                lambda: _FrameProtocol(
-                    lambda _, number, payload: link.deliver_reply(number, payload)
-                ),
+                lambda: FrameProtocol(link.deliver_reply, self._log),
                 host,
                 int(port),
             )
@@ -245,6 +193,7 @@
         link.waiting[number] = future
         try:
             protocol.send(number, data)
+            link.due += 1
             return await future
         finally:
             del link.waiting[number]
@@ -267,7 +216,7 @@
         self._replies = replies
         self._tasks = TaskGroup()
         self._server: asyncio.Server | None = None
-        self._connections: set[_FrameProtocol] = set()
+        self._connections: set[FrameProtocol] = set()
 
     async def start(self) -> None:
         """Listen on the address (tcp://IP:PORT)."""
@@ -283,16 +232,16 @@
             connection.close()
         await self._tasks.close()
 
-    def _accept(self) -> _FrameProtocol:
-        connection = _FrameProtocol(self._start_request)
+    def _accept(self) -> FrameProtocol:
+        connection = FrameProtocol(self._start_request, self._log)
         connection.on_disconnect = lambda: self._connections.discard(connection)
         self._connections.add(connection)
         return connection
 
-    def _start_request(self, connection: _FrameProtocol, number: int, payload: bytes) -> None:
+    def _start_request(self, connection: FrameProtocol, number: int, payload: bytes) -> None:
         self._tasks.spawn(self._answer(connection, number, payload))
 
-    async def _answer(self, connection: _FrameProtocol, number: int, payload: bytes) -> None:
+    async def _answer(self, connection: FrameProtocol, number: int, payload: bytes) -> None:
         try:
             reply = await self._handle(decode_bytes(payload, self._requests))
         except RequestError as error:
--- a/tests/peer/test_streams.py
+++ b/tests/peer/test_streams.py
@@ -8,7 +8,8 @@
 
 from egretford.errors import PeerUnreachableError
 from egretford.keeper.messages import FetchTurns, KeeperReply, KeeperRequest, TurnPage
-from egretford.peer.streams import LENGTH, StreamPeerClient, StreamPeerServer
+from egretford.peer.frames import LENGTH
+from egretford.peer.streams import StreamPeerClient, StreamPeerServer
 from tests.platform.deployment import find_free_port
 from tests.platform.standins import NullLog
 
@@ -17,7 +18,7 @@
     address = f"tcp://127.0.0.1:{find_free_port()}"
     server = StreamPeerServer(address, handle, NullLog(), KeeperRequest, KeeperReply)
     await server.start()
-    return address, server, StreamPeerClient(KeeperRequest, KeeperReply)
+    return address, server, StreamPeerClient(KeeperRequest, KeeperReply, NullLog())
 
 
 async def answer(message):
