Read no further requests of a peer while too many are pending

A peer that sent requests without end had all of them handled at once by a keeper, and one that read no replies had all of these kept for it: both grew with what it sent, and took the keeper's memory.

The server now stops reading a connection while 1,024 requests or 16 MB of them are pending on it, or while replies wait to be read, and goes on once there is room. Other connections are not affected. Clients still read at all times, so that two instances never wait for each other.

Two tests failed before (over 3,000 requests handled at once; over 500 large replies of 2,000 made for a peer that reads none) and pass.

--- a/egretford/peer/frames.py
+++ b/egretford/peer/frames.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import msgpack
@@ -18,6 +19,10 @@
 
 LENGTH = struct.Struct(">I")
 MAX_FRAME_BYTES = 16_000_000
+# Requests of one connection that are handled at once, and their bytes, above which the server reads
+# no further ones.
+MAX_PENDING_REQUESTS = 1_024
+MAX_PENDING_BYTES = 16_000_000
 
 
 class FrameError(EgretfordError):
@@ -98,3 +103,51 @@
     if type(number) is not int or type(payload) is not bytes:
         raise FrameError("a frame without a number and a message")
     return number, payload
+
+
+class ServedConnection(FrameProtocol):
+    """A connection of the server; it is not read while too much is pending on it.
+
+    Too much are MAX_PENDING_REQUESTS, MAX_PENDING_BYTES, or replies that the peer does not read.
+    """
+
+    def __init__(self, on_frame: Callable[[FrameProtocol, int, bytes], None], log: Any) -> None:
+        super().__init__(on_frame, log)
+        self._requests = 0
+        self._bytes = 0
+        self._write_paused = False
+
+    def pause_writing(self) -> None:
+        """Read no requests until replies have been read."""
+        self._write_paused = True
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """Read requests again."""
+        self._write_paused = False
+        self._update_reading()
+
+    @contextmanager
+    def count_pending(self, size: int) -> Iterator[None]:
+        """Count a request of `size` bytes as pending."""
+        self._requests += 1
+        self._bytes += size
+        self._update_reading()
+        try:
+            yield
+        finally:
+            self._requests -= 1
+            self._bytes -= size
+            self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self.closed:
+            return
+        if (
+            self._write_paused
+            or self._requests >= MAX_PENDING_REQUESTS
+            or self._bytes >= MAX_PENDING_BYTES
+        ):
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
--- a/egretford/peer/streams.py
+++ b/egretford/peer/streams.py
@@ -18,7 +18,7 @@
 from egretford.controllers.loops import TaskGroup
 from egretford.errors import ErrorKind, PeerUnreachableError, RequestError, Verdict
 from egretford.models import ErrorReply
-from egretford.peer.frames import FrameProtocol
+from egretford.peer.frames import FrameProtocol, ServedConnection
 from egretford.timeouts import ReplyTimeout
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -232,16 +232,20 @@
             connection.close()
         await self._tasks.close()
 
-    def _accept(self) -> FrameProtocol:
-        connection = FrameProtocol(self._start_request, self._log)
+    def _accept(self) -> ServedConnection:
+        connection = ServedConnection(self._start_request, self._log)
         connection.on_disconnect = lambda: self._connections.discard(connection)
         self._connections.add(connection)
         return connection
 
-    def _start_request(self, connection: FrameProtocol, number: int, payload: bytes) -> None:
+    def _start_request(self, connection: ServedConnection, number: int, payload: bytes) -> None:
         self._tasks.spawn(self._answer(connection, number, payload))
 
-    async def _answer(self, connection: FrameProtocol, number: int, payload: bytes) -> None:
+    async def _answer(self, connection: ServedConnection, number: int, payload: bytes) -> None:
+        with connection.count_pending(len(payload)):
+            await self._send_reply(connection, number, payload)
+
+    async def _send_reply(self, connection: ServedConnection, number: int, payload: bytes) -> None:
         try:
             reply = await self._handle(decode_bytes(payload, self._requests))
         except RequestError as error:
--- a/tests/peer/test_endless_frames.py
+++ b/tests/peer/test_endless_frames.py
@@ -149,3 +149,47 @@
             flooding.cancel()
         assert len(server._connections) == 1
         writer.transport.abort()
+
+
+# Guards against requests without end that are all handled at once.
+async def test_requests_without_end_wait_at_the_peer():
+    release = asyncio.Event()
+    running = 0
+
+    async def wait(message):
+        nonlocal running
+        if message.ids:
+            running += 1
+            await release.wait()
+        return TurnPage((), "d")
+
+    async with run_server(wait) as (address, _, client):
+        _, writer = await connect(address)
+        with assert_memory_below(MAX_MEMORY_BYTES):
+            flooding = asyncio.create_task(flood(writer, b"", encode_request(("x" * 1_000,))))
+            await asyncio.sleep(1.0)
+            assert isinstance(await client.ask(address, FetchTurns(()), 1.0), TurnPage)
+            assert running < 3_000
+        flooding.cancel()
+        writer.transport.abort()
+
+
+# Guards against replies without end that are kept for a peer that does not read them.
+async def test_requests_of_a_peer_that_reads_no_replies_wait_at_the_peer():
+    served = 0
+
+    async def answer_large(message):
+        nonlocal served
+        served += bool(message.ids)
+        return TurnPage((), "x" * 100_000 if message.ids else "d")
+
+    async with run_server(answer_large) as (address, _, client):
+        _, writer = await connect(address)
+        writer.transport.pause_reading()
+        with assert_memory_below(MAX_MEMORY_BYTES):
+            for _ in range(2_000):
+                writer.write(encode_request(("x",)))
+                await asyncio.sleep(0)
+            assert isinstance(await client.ask(address, FetchTurns(()), 1.0), TurnPage)
+            assert served < 500
+        writer.transport.abort()
