--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -11,6 +11,7 @@
 
 from egretford.clock import Clock
 from egretford.http.client import set_socket_options
+from egretford.http.framing import FramingCounter
 from egretford.http.limits import RequestLimits
 from egretford.http.messages import (
     LAST_CHUNK,
@@ -25,7 +26,8 @@
 BACKLOG = 1_024
 # Requests that one connection may send without waiting for the responses.
 MAX_PIPELINED = 16
-
+# Limit on the framing of a request after its head, such as chunk sizes and trailers, in bytes.
+MAX_FRAMING_BYTES = 65_536
 
 Handler = Callable[[HttpRequest, "Responder"], Awaitable[None]]
 
@@ -164,6 +166,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
+        self._read_paused = False
         self._refused = False
         self.closed = False
         self.close_after_response = False
@@ -210,6 +213,8 @@
             self._begin_reading()
         if not self._head_done:
             self._head_bytes += len(data)
+        framing = self._framing if self._head_done else None
+        body_before = self._body_size
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -218,6 +223,12 @@
             self._refuse(400, f"malformed request: {error}")
         if not self._head_done and self._head_bytes > self._server.limits.header_bytes:
             self._refuse(431, f"the header exceeds {self._server.limits.header_bytes} bytes")
+        # A request that began with these bytes has a counter of its own.
+        if framing is self._framing and framing.exceeds_limit(
+            len(data), self._body_size - body_before
+        ):
+            self._refuse(431, f"over {MAX_FRAMING_BYTES} bytes after the head that are no body")
+        self._update_reading()
 
     def pause_writing(self) -> None:
         """Make `drain` wait: the write buffer is full."""
@@ -239,8 +250,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        self._headers.add(name, value)
+        """Add a header field; the parser also reports trailers here, which are ignored."""
+        if not self._head_done:
+            self._headers.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Check Host, framing and size; ambiguous lengths would allow request smuggling."""
@@ -263,7 +275,7 @@
         if self._body_size > self._server.limits.body_bytes:
             self._refuse(413, f"the body exceeds {self._server.limits.body_bytes} bytes")
             return
-        self._body.append(bytes(data))
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Queue the complete request; requests on one connection are handled in order."""
@@ -274,7 +286,7 @@
                 self._parser.get_method(),
                 bytes(self._target),
                 self._headers,
-                b"".join(self._body),
+                bytes(self._body),
                 self._parser.should_keep_alive(),
                 self._server.clock.monotonic(),
                 self.peer,
@@ -293,6 +305,7 @@
     def _serve_next(self) -> None:
         if self._requests and not self.closed:
             request = self._requests.popleft()
+            self._update_reading()
             self._task = asyncio.get_running_loop().create_task(self._serve(request))
         elif self._reading:
             self._answer_expectation()
@@ -309,6 +322,7 @@
         responder = Responder(self, request.keep_alive)
         try:
             await self._server.handle(request, responder)
+            await self._wait_until_read()
         except CallerGoneError:
             self._server.log.info("caller disconnected during the response", peer=self.peer)
         except asyncio.CancelledError:
@@ -343,6 +357,7 @@
             self._send_refusal(status, reason)
         else:
             self.close_after_response = True
+            self._wake_writer()
 
     def _send_refusal(self, status: int, reason: str) -> None:
         body = reason.encode() + b"\n"
@@ -354,12 +369,31 @@
         self.write(encode_head(encode_status_line(status), fields) + body)
         self.close()
 
+    def _update_reading(self) -> None:
+        """Read no further while requests sent ahead have larger bodies than one request may have.
+
+        The end of the connection is not noticed meanwhile.
+        """
+        waiting = sum(len(request.body) for request in self._requests)
+        paused = waiting > 0 and waiting + self._body_size > self._server.limits.body_bytes
+        if paused == self._read_paused or self.closed or self._refused:
+            return
+        self._read_paused = paused
+        if paused:
+            self._transport.pause_reading()
+            self._cancel_timer()
+            return
+        self._transport.resume_reading()
+        if self._reading:
+            self._set_timer(self._server.limits.header_timeout, self._handle_read_timeout)
+
     # Timers and writing
 
     def _reset_request(self) -> None:
         self._target = bytearray()
         self._headers = Headers()
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._framing = FramingCounter(MAX_FRAMING_BYTES)
         self._body_size = 0
         self._head_bytes = 0
         self._head_done = False
@@ -399,11 +433,19 @@
     async def drain(self) -> None:
         """Wait until the write buffer has room; raises CallerGoneError."""
         while self._write_paused and not self.closed:
-            self._drain_waiter = asyncio.get_running_loop().create_future()
-            await self._drain_waiter
+            await self._wait_for_change()
         if self.closed:
             raise CallerGoneError("the caller closed its connection")
 
+    async def _wait_until_read(self) -> None:
+        """Wait until the write buffer has room for another response, if one may follow."""
+        while self._write_paused and not self.closed and not self.close_after_response:
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        self._drain_waiter = asyncio.get_running_loop().create_future()
+        await self._drain_waiter
+
     def _wake_writer(self) -> None:
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_result(None)
