A response before a close is not lost to what its caller sends next

Callers saw: a 200 that was cut in its middle by a reset, if the connection was to close after it (a planned stop, a refusal) and its caller had sent more by then: a request that crosses the close, or the rest of a body. Cause: the server stopped reading with the response still in its buffers, and closed the socket with unread bytes; the kernel then resets the connection and drops what it has not delivered (RFC 9112, section 9.6). Change: after the last response only the sending side is closed. Bytes of the caller are read and dropped until it closes too, for LINGER_SECONDS at most, and longer only while the response is still being sent.

--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -25,6 +25,8 @@
 BACKLOG = 1_024
 # Requests that one connection may send without waiting for the responses.
 MAX_PIPELINED = 16
+# Seconds for which the bytes of a caller are read and dropped after the end of the last response.
+LINGER_SECONDS = 1.0
 
 
 Handler = Callable[[HttpRequest, "Responder"], Awaitable[None]]
@@ -165,6 +167,7 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
         self._refusal: tuple[int, str] | None = None
+        self._lingering = False
         self.closed = False
         self.close_after_response = False
         self.peer = ""
@@ -204,7 +207,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; refuse malformed requests and those over the limits."""
-        if self._refusal is not None:
+        if self._refusal is not None or self._lingering:
             return
         if not self._reading and not self._requests and self._task is None:
             self._begin_reading()
@@ -397,7 +400,7 @@
 
     def write(self, data: bytes) -> None:
         """Write, unless the connection is closed."""
-        if not self.closed:
+        if not self.closed and not self._lingering:
             self._transport.write(data)
 
     async def drain(self) -> None:
@@ -413,8 +416,26 @@
             self._drain_waiter.set_result(None)
 
     def close(self) -> None:
-        """Close after all buffered data has been sent."""
-        if not self.closed:
+        """Close after all buffered data has been sent.
+
+        Bytes that the caller sends meanwhile are read until it closes as well: unread, they would
+        reset the connection, and the caller might lose the end of a response.
+        """
+        if self.closed or self._lingering:
+            return
+        self._lingering = True
+        self._reading = False
+        self._requests.clear()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            self._transport.abort()
+        self._set_timer(LINGER_SECONDS, self._handle_linger_timeout)
+
+    def _handle_linger_timeout(self) -> None:
+        if self._transport.get_write_buffer_size():
+            self._set_timer(LINGER_SECONDS, self._handle_linger_timeout)
+        else:
             self._transport.close()
 
     def abort(self) -> None:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
 from egretford.clock import SystemClock
 from egretford.http.limits import RequestLimits
 from egretford.http.messages import Headers
-from egretford.http.server import MAX_PIPELINED, HttpServer
+from egretford.http.server import LINGER_SECONDS, MAX_PIPELINED, HttpServer
 from tests.platform.standins import NullLog
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -182,3 +183,40 @@
     assert answer.count(b"200 OK") == len(server.requests)
     assert parse_status(b"HTTP/1.1" + answer.split(b"HTTP/1.1")[-1]) == status
     assert answer.count(b"Connection: close") == 1
+
+
+# Guards against a response cut short because its caller sent more before it had read the close.
+@pytest.mark.parametrize("extra", [REQUEST, b"x" * 100_000], ids=["a request", "a body"])
+async def test_a_response_before_a_close_arrives_whole_whatever_its_caller_sends(server, extra):
+    body = b"y" * 1_000_000
+
+    async def handle(http, responder):
+        responder.send_response(200, Headers(), body)
+
+    server.handle = handle
+    server.draining = True
+    loop = asyncio.get_running_loop()
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, ("127.0.0.1", server.port))
+        await loop.sock_sendall(caller, REQUEST)
+        await asyncio.sleep(0.05)
+        await loop.sock_sendall(caller, extra)
+        await asyncio.sleep(0.05)
+        received = b""
+        async with asyncio.timeout(5):
+            while data := await loop.sock_recv(caller, 65_536):
+                received += data
+    assert received.endswith(b"\r\n\r\n" + body)
+
+
+async def test_a_caller_that_does_not_close_is_not_kept(server):
+    server.draining = True
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(REQUEST)
+    async with asyncio.timeout(LINGER_SECONDS + 1):
+        await reader.read()
+        while server.connections:
+            await asyncio.sleep(0.01)
+    writer.close()
