--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -28,6 +28,10 @@
 MAX_PIPELINED = 16
 # Limit on the framing of a request after its head, such as chunk sizes and trailers, in bytes.
 MAX_FRAMING_BYTES = 65_536
+# Seconds for which the bytes of a caller are read and dropped after the end of the last response.
+LINGER_SECONDS = 1.0
+# Limit on these bytes, after which the connection is reset.
+MAX_DROPPED_BYTES = 4_194_304
 
 Handler = Callable[[HttpRequest, "Responder"], Awaitable[None]]
 
@@ -167,7 +171,9 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
         self._read_paused = False
-        self._refused = False
+        self._refusal: tuple[int, str] | None = None
+        self._lingering = False
+        self._dropped_bytes = 0
         self.closed = False
         self.close_after_response = False
         self.peer = ""
@@ -179,7 +185,7 @@
 
         Not while further requests were read from it, as only the last response may say so.
         """
-        return self._server.draining and not self._requests
+        return self._server.draining and not self._requests and self._refusal is None
 
     @property
     def is_busy(self) -> bool:
@@ -207,7 +213,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; refuse malformed requests and those over the limits."""
-        if self._refused:
+        if self._lingering:
+            self._drop(len(data))
+            return
+        if self._refusal is not None:
             return
         if not self._reading and not self._requests and self._task is None:
             self._begin_reading()
@@ -279,7 +288,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request; requests on one connection are handled in order."""
-        if self._refused:
+        if self._refusal is not None:
             return
         self._requests.append(
             HttpRequest(
@@ -303,13 +312,17 @@
     # Serving
 
     def _serve_next(self) -> None:
-        if self._requests and not self.closed:
+        if self.closed:
+            return
+        if self._requests:
             request = self._requests.popleft()
             self._update_reading()
             self._task = asyncio.get_running_loop().create_task(self._serve(request))
+        elif self._refusal is not None:
+            self._send_refusal(*self._refusal)
         elif self._reading:
             self._answer_expectation()
-        elif not self.closed:
+        else:
             self._set_timer(self._server.limits.idle_timeout, self._handle_idle_timeout)
 
     def _answer_expectation(self) -> None:
@@ -348,16 +361,15 @@
             responder.send_response(500, Headers(), b"internal error\n")
 
     def _refuse(self, status: int, reason: str) -> None:
-        if self._refused:
+        """Take no further request; the refusal follows the responses to those read before."""
+        if self._refusal is not None:
             return
-        self._refused = True
+        self._refusal = status, reason
         self._reading = False
+        self._cancel_timer()
         self._server.log.info("refused a request", status=status, reason=reason, peer=self.peer)
         if self._task is None and not self.closed:
             self._send_refusal(status, reason)
-        else:
-            self.close_after_response = True
-            self._wake_writer()
 
     def _send_refusal(self, status: int, reason: str) -> None:
         body = reason.encode() + b"\n"
@@ -376,7 +388,7 @@
         """
         waiting = sum(len(request.body) for request in self._requests)
         paused = waiting > 0 and waiting + self._body_size > self._server.limits.body_bytes
-        if paused == self._read_paused or self.closed or self._refused:
+        if paused == self._read_paused or self.closed or self._refusal is not None:
             return
         self._read_paused = paused
         if paused:
@@ -401,7 +413,7 @@
         self._reading = False
 
     def _begin_reading(self) -> None:
-        if not self._reading:
+        if not self._reading and self._refusal is None:
             self._reading = True
             self._set_timer(self._server.limits.header_timeout, self._handle_read_timeout)
 
@@ -427,7 +439,7 @@
 
     def write(self, data: bytes) -> None:
         """Write, unless the connection is closed."""
-        if not self.closed:
+        if not self.closed and not self._lingering:
             self._transport.write(data)
 
     async def drain(self) -> None:
@@ -451,8 +463,34 @@
             self._drain_waiter.set_result(None)
 
     def close(self) -> None:
-        """Close after all buffered data has been sent."""
-        if not self.closed:
+        """Close after all buffered data has been sent.
+
+        Bytes that the caller sends meanwhile are read until it closes as well: unread, they would
+        reset the connection, and the caller might lose the end of a response.
+        """
+        if self.closed or self._lingering:
+            return
+        self._lingering = True
+        self._reading = False
+        self._requests.clear()
+        if self._read_paused:
+            self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            self._transport.abort()
+        self._set_timer(LINGER_SECONDS, self._handle_linger_timeout)
+
+    def _drop(self, size: int) -> None:
+        """Drop bytes after the last response; abort if they seem to have no end."""
+        self._dropped_bytes += size
+        if self._dropped_bytes > MAX_DROPPED_BYTES:
+            self._transport.abort()
+
+    def _handle_linger_timeout(self) -> None:
+        if self._transport.get_write_buffer_size():
+            self._set_timer(LINGER_SECONDS, self._handle_linger_timeout)
+        else:
             self._transport.close()
 
     def abort(self) -> None:
