Limit a response of the object API

A platform whose response had no end filled the memory of an instance until the call's time was over: 64 MB within 3 s in the test, and as much again when it was copied.

The body was read whole, with a limit on its time alone. Over 16 MB, the connection is now closed and the call fails like any other that got no usable response, whose callers log it.

Failed before: length, until close and failure.

--- a/egretford/platform/http.py
+++ b/egretford/platform/http.py
@@ -14,6 +14,8 @@
 
 # Added to the wait of a watch before the call times out.
 WATCH_GRACE_SECONDS = 2.0
+# Limit on one response, in bytes. A page has up to 4 MB of values and one more object, in Base64.
+MAX_RESPONSE_BYTES = 16_000_000
 
 
 class HttpPlatform:
@@ -96,12 +98,21 @@
             async with self._session.request(
                 method, self._url + path, timeout=limit, **options
             ) as response:
-                body = await response.read()
-                return _check_status(response.status, path, body)
+                return _check_status(response.status, path, await _read_body(response, path))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(f"{method} {path}: {error!r}") from error
 
 
+async def _read_body(response: aiohttp.ClientResponse, path: str) -> bytes:
+    body = bytearray()
+    while part := await response.content.readany():
+        body += part
+        if len(body) > MAX_RESPONSE_BYTES:
+            response.close()
+            raise StoreUnavailableError(f"{path}: a response over {MAX_RESPONSE_BYTES} bytes")
+    return bytes(body)
+
+
 def _object_path(key: str) -> str:
     return "/objects/" + quote(key, safe="/")
 
