Limit a listing of the store

A store whose listing always had one more page was read without end, and all objects were kept: in the test for 5 s, until it gave up.

Each page had limits, their number had none. All pages together may now take 32 MB, with 1 kB of memory assumed for each object; over that the listing fails as one that got no usable response, which feeds log and try again after a pause, with what they know still in force.

Both tests failed before and pass.

--- a/egretford/platform/store.py
+++ b/egretford/platform/store.py
@@ -41,6 +41,10 @@
 MAX_IDLE_SECONDS = 10.0
 # The store sends pages of about 1 MB plus a small envelope.
 MAX_RESPONSE_BYTES = 4_000_000
+# Limit on all pages of a listing, and approximate memory of an object besides its size on a page,
+# in bytes.
+MAX_LISTING_BYTES = 32_000_000
+OBJECT_BYTES = 1_000
 
 
 class HistoryGoneError(PlatformError):
@@ -102,18 +106,25 @@
         self._idle_connections.clear()
 
     async def list_all(self, kind: str) -> Listing:
-        """Return all objects of a kind; reads page by page and skips malformed objects."""
+        """Return all objects of a kind; reads page by page and skips malformed objects.
+
+        A listing over MAX_LISTING_BYTES counts as no usable response.
+        """
         objects: dict[str, StoreObject] = {}
+        size = 0
         revision: int | None = None
         after = ""
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
-            page = await self._call("GET", _kind_path(kind) + query)
+            page, page_size = await self._call_sized("GET", _kind_path(kind) + query)
             items = _read_list(page, "items")
             # Watching from the first page's revision also reports changes made while paging.
             revision = _read_revision(page) if revision is None else revision
             found = [item for item in map(_decode_object, items) if item is not None]
             objects.update((item.name, item) for item in found)
+            size += page_size + OBJECT_BYTES * len(items)
+            if size > MAX_LISTING_BYTES:
+                raise StoreUnavailableError(f"the {kind} take over {MAX_LISTING_BYTES} bytes")
             if not page.get("more_pages") or not items:
                 return Listing(objects, revision)
             if not found or found[-1].name <= after:
@@ -167,6 +178,17 @@
         body: Any = None,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> Any:
+        value, _ = await self._call_sized(method, path, body, timeout_seconds)
+        return value
+
+    async def _call_sized(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> tuple[Any, int]:
+        """Return the decoded response and the size of its body in bytes."""
         data = b"" if body is None else orjson.dumps(body)
         fields = [(b"Host", self._address.encode())]
         if data:
@@ -189,7 +211,7 @@
         value, undecodable = _decode_response(response_head.status, call, content)
         if undecodable:
             self._log.warning("the store has undecodable objects", call=call, count=undecodable)
-        return value
+        return value, len(content)
 
     @asynccontextmanager
     async def _acquire_connection(self) -> AsyncIterator[ClientConnection]:
--- a/tests/platform/test_endless_platform.py
+++ b/tests/platform/test_endless_platform.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
+import orjson
 import pytest
 
+from egretford.clock import SystemClock
 from egretford.errors import StoreUnavailableError
+from egretford.http.messages import Headers
 from egretford.platform.http import HttpPlatform
+from egretford.platform.store import MetadataStore
 from tests.endless import FLOOD_BYTES, assert_memory_below, run_endless
+from tests.platform.standins import ListeningStandin, NullLog
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -46,3 +52,39 @@
             await platform.get("a/1")
         await asyncio.wait_for(server.disconnected.wait(), 1.0)
         await platform.close()
+
+
+class EndlessListing(ListeningStandin):
+    """A store whose listing has always one more page, of `count` objects of `size` bytes."""
+
+    def __init__(self, count: int, size: int) -> None:
+        self._names = (f"n{number:09}" for number in itertools.count())
+        self._count = count
+        self._content = "x" * size
+        self.pages = 0
+        super().__init__()
+
+    async def handle(self, http, responder):
+        self.pages += 1
+        items = [
+            {"metadata": {"name": next(self._names), "revision": 1}, "spec": self._content}
+            for _ in range(self._count)
+        ]
+        page = {"items": items, "store_revision": 1, "more_pages": True}
+        responder.send_response(200, Headers(), orjson.dumps(page))
+
+
+# Guards against a listing that goes on until the memory is exhausted.
+@pytest.mark.parametrize(("count", "size"), [(1, 1_000_000), (1_000, 10)], ids=["large", "small"])
+async def test_a_listing_without_end_fails(count, size):
+    server = EndlessListing(count, size)
+    await server.start()
+    store = MetadataStore(server.address, SystemClock(), NullLog())
+    try:
+        with assert_memory_below(48_000_000), pytest.raises(StoreUnavailableError):
+            async with asyncio.timeout(5.0):
+                await store.list_all("workers")
+        assert server.pages < 40
+    finally:
+        await store.close()
+        await server.close()
