--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,7 +18,13 @@
 from tests.soak.processes import CORE, Cluster, Disruption, Kill, Node
 from tests.soak.run import Size, continue_chains, run_seed
 from tests.soak.slow_disk import SYNC_DELAY_FILE, delay_syncs
-from tests.soak.workers import join_stream_events, make_complete_stream, make_stream_event
+from tests.soak.workers import (
+    Framing,
+    ResponseWriter,
+    join_stream_events,
+    make_complete_stream,
+    make_stream_event,
+)
 
 CI_SECONDS = 6.0
 # Seeds that once violated a guarantee: (seed, seconds, large, cause).
@@ -294,6 +300,30 @@
     assert bool(list(checks.check_broken_turns(load, arrivals))) is red
 
 
+# Guards against a soak whose responses all end in the same way.
+@pytest.mark.parametrize("framing", list(Framing))
+async def test_workers_answer_with_a_length_chunks_or_neither(framing):
+    async def script(worker, arrival, responder):
+        writer = ResponseWriter(worker, arrival, responder, framing)
+        writer.start(len(make_complete_stream()))
+        await writer.write(make_complete_stream())
+        writer.finish()
+        return True
+
+    worker = WorkerStandin("w", "models", "z", engine=True)
+    worker.script = script
+    await worker.start()
+    answer = await Caller(worker.address).ask("/plan/1")
+    fields = [answer.headers.get(name) for name in (b"Content-Length", b"Transfer-Encoding")]
+    assert [field is not None for field in fields] == [
+        framing is Framing.LENGTH,
+        framing is Framing.CHUNKS,
+    ]
+    assert (answer.body, answer.is_complete) == (make_complete_stream(), True)
+    assert worker.arrivals[0].completed
+    await worker.close()
+
+
 # Guards against kills that do not look like SIGKILL: connections end in order, and others are
 # refused until a process listens at the same address.
 async def test_a_killed_worker_closes_in_order_and_starts_again_at_its_address():
