--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -19,7 +19,8 @@
 from egretford.entry.workers import WorkerTable
 from egretford.http.limits import RequestLimits
 from egretford.http.messages import Headers, HttpRequest
-from egretford.http.server import HttpServer, Responder
+from egretford.http.responder import Responder
+from egretford.http.server import HttpServer
 from egretford.instance import InstanceSettings
 from egretford.keeper.messages import KeeperReply, KeeperRequest
 from egretford.logs import make_logger
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -18,7 +18,8 @@
 from egretford.entry.workers import WorkerTable
 from egretford.errors import HTTP_STATUS, ErrorKind, RequestError, Verdict
 from egretford.http.messages import Headers, HttpRequest
-from egretford.http.server import CallerGoneError, HttpServer, Responder
+from egretford.http.responder import CallerGoneError, Responder
+from egretford.http.server import HttpServer
 from egretford.metrics import Metrics
 from egretford.platform.wire import decode_request, encode_refusal_fields
 from egretford.policy.crashes import Crash, make_fingerprint
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -10,7 +10,7 @@
 from egretford.entry.origins import Stream
 from egretford.entry.workers import TrackedWorker
 from egretford.errors import ErrorKind, RequestError, Verdict
-from egretford.http.server import Responder
+from egretford.http.responder import Responder
 from egretford.numbers import parse_whole_number
 from egretford.policy.attempts import AttemptHistory
 from egretford.policy.sequences import EventSequence
--- a/egretford/exposition.py
+++ b/egretford/exposition.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from egretford.http.messages import Headers, HttpRequest
-from egretford.http.server import Responder
+from egretford.http.responder import Responder
 from egretford.metrics import Metrics
 
 CONTENT_TYPE = (b"Content-Type", b"text/plain; version=0.0.4")
--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -14,13 +14,12 @@
 from egretford.http.framing import FramingCounter
 from egretford.http.limits import RequestLimits
 from egretford.http.messages import (
-    LAST_CHUNK,
     Headers,
     HttpRequest,
-    encode_chunk,
     encode_head,
     encode_status_line,
 )
+from egretford.http.responder import CallerGoneError, Responder
 
 # Connections waiting to be accepted; if the queue is full, connecting takes callers seconds.
 BACKLOG = 1_024
@@ -33,73 +32,7 @@
 # Limit on these bytes, after which the connection is reset.
 MAX_DROPPED_BYTES = 4_194_304
 
-Handler = Callable[[HttpRequest, "Responder"], Awaitable[None]]
-
-
-class CallerGoneError(ConnectionError):
-    """The caller closed its connection."""
-
-
-class Responder:
-    """Writes one response on a caller's connection, in one piece or as a stream.
-
-    `started` is set once the head was sent, `finished` once the response ended or was aborted.
-    """
-
-    def __init__(self, connection: _ServerConnection, keep_alive: bool) -> None:
-        self._connection = connection
-        self._keep_alive = keep_alive
-        self.started = False
-        self.finished = False
-
-    @property
-    def is_disconnected(self) -> bool:
-        """Whether the caller closed its connection."""
-        return self._connection.closed
-
-    def send_response(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response; adds Content-Length."""
-        fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._connection_fields()]
-        self.started = True
-        self._connection.write(encode_head(encode_status_line(status), fields) + body)
-        self._finish()
-
-    def start_stream(self, status: int, headers: Headers) -> None:
-        """Send the head of a streamed (chunked) response."""
-        fields = [*headers, (b"Transfer-Encoding", b"chunked"), *self._connection_fields()]
-        self.started = True
-        self._connection.write(encode_head(encode_status_line(status), fields))
-
-    async def write(self, data: bytes) -> None:
-        """Send a part of a streamed response, and wait while the write buffer is full.
-
-        Raises CallerGoneError.
-        """
-        if self._connection.closed:
-            raise CallerGoneError("the caller closed its connection")
-        self._connection.write(encode_chunk(data))
-        await self._connection.drain()
-
-    def finish_stream(self) -> None:
-        """End a streamed response as complete."""
-        self._connection.write(LAST_CHUNK)
-        self._finish()
-
-    def abort(self) -> None:
-        """Close the connection, so that the response is not taken for complete."""
-        self.finished = True
-        self._connection.abort()
-
-    def _connection_fields(self) -> list[tuple[bytes, bytes]]:
-        if not self._keep_alive or self._connection.closing:
-            self._keep_alive = False
-            return [(b"Connection", b"close")]
-        return []
-
-    def _finish(self) -> None:
-        self.finished = True
-        if not self._keep_alive:
-            self._connection.close_after_response = True
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
 class HttpServer:
@@ -114,7 +47,7 @@
         self.clock = clock
         self.log = log
         self.draining = False
-        self.connections: set[_ServerConnection] = set()
+        self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
     @property
@@ -132,7 +65,7 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _ServerConnection(self), host, int(port), backlog=BACKLOG, reuse_address=True
+            lambda: ServerConnection(self), host, int(port), backlog=BACKLOG, reuse_address=True
         )
 
     @property
@@ -158,7 +91,7 @@
             connection.abort()
 
 
-class _ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol):
     """One caller's connection."""
 
     def __init__(self, server: HttpServer) -> None:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -16,7 +16,8 @@
 from egretford.http.client import BodyEnd, BodyPart, ClientConnection
 from egretford.http.limits import RequestLimits
 from egretford.http.messages import Headers, HttpRequest, encode_head
-from egretford.http.server import HttpServer, Responder
+from egretford.http.responder import Responder
+from egretford.http.server import HttpServer
 
 # Objects on one page of a listing.
 PAGE_SIZE = 50
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -10,7 +10,7 @@
 from attrs import define
 
 from egretford.http.messages import encode_head, encode_status_line
-from egretford.http.server import CallerGoneError, Responder
+from egretford.http.responder import CallerGoneError, Responder
 from tests.platform.standins import Arrival, WorkerStandin
 from tests.soak.processes import Cluster
 
