Bound the memory of all responses that are read at once

Several workers that sent bodies without end at the same time took 8 MB each from one entry, which may have 128 MB: with 24 of them, more than the test's 56 MB, and the error of a body that was cut off kept it in memory for as long as the error's traceback was referred to (24 bodies of 54 MB together were still there with a limit on those being read).

Each response had a limit, all together had none. Bodies that are being read now share 16 MB. Reading of whole responses has moved to a module of its own.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -21,12 +21,12 @@
     UpstreamRefusedError,
     UpstreamUnreachableError,
 )
+from egretford.http.bodies import BodyBudget, read_body
 from egretford.http.client import (
     BrokenResponseError,
     ClientConnection,
     ConnectError,
     ResponseTooLargeError,
-    read_body,
 )
 from egretford.platform.wire import (
     decode_reply,
@@ -46,6 +46,8 @@
 # Number of responses to earlier requests that are skipped on one connection. Connections are
 # reused only after all their responses were read, so even one is rare.
 MAX_STALE_RESPONSES = 8
+# Limit on all responses that are being buffered, in bytes.
+MAX_BUFFERED_BYTES = 16_777_216
 
 
 class Forwarder:
@@ -60,7 +62,10 @@
         self._clock = clock
         self._log = log
         self._processes = WorkerProcesses(workers, clock, log)
-        self._relay = ResponseRelay(self._list_candidates, self._processes, clock, log)
+        self._bodies = BodyBudget(MAX_BUFFERED_BYTES)
+        self._relay = ResponseRelay(
+            self._list_candidates, self._processes, self._bodies, clock, log
+        )
 
     async def is_running(self, tracked: TrackedWorker) -> bool:
         """Whether a worker's process proves that it has not ended."""
@@ -352,7 +357,8 @@
                 request=job.request.id,
                 belongs_to=reply.request_id,
             )
-            bytes_left -= len(await read_body(connection, bytes_left))
+            skipped = await read_body(connection, bytes_left, budget=self._bodies)
+            bytes_left -= len(skipped)
         raise UpstreamLostError(
             f"over {MAX_STALE_RESPONSES} responses to earlier requests", crashed=False
         )
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -9,12 +9,8 @@
 from egretford.entry.jobs import ForwardingJob
 from egretford.entry.workers import TrackedWorker, WorkerTable
 from egretford.errors import UpstreamLostError, UpstreamRefusedError, UpstreamUnreachableError
-from egretford.http.client import (
-    BrokenResponseError,
-    ClientConnection,
-    ConnectError,
-    read_response,
-)
+from egretford.http.bodies import read_response
+from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError
 from egretford.platform.wire import decode_start_time, encode_state_request
 from egretford.timeouts import ReplyTimeout
 
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -14,7 +14,8 @@
 from egretford.entry.processes import WorkerProcesses
 from egretford.entry.workers import TrackedWorker
 from egretford.errors import ErrorKind, UpstreamLostError
-from egretford.http.client import BodyEnd, BodyPart, ClientConnection, read_body
+from egretford.http.bodies import BodyBudget, read_body
+from egretford.http.client import BodyEnd, BodyPart, ClientConnection
 from egretford.http.messages import Headers
 from egretford.timeouts import ReplyTimeout
 
@@ -57,11 +58,13 @@
         self,
         list_candidates: Callable[[ForwardingJob], list[TrackedWorker]],
         processes: WorkerProcesses,
+        bodies: BodyBudget,
         clock: Clock,
         log: Any,
     ) -> None:
         self._list_candidates = list_candidates
         self._processes = processes
+        self._bodies = bodies
         self._clock = clock
         self._log = log
 
@@ -75,7 +78,7 @@
         """Relay a complete body; raises UpstreamLostError if the call may be repeated."""
         try:
             async with ReplyTimeout(get_read_timeout(job)):
-                body = await read_body(connection, MAX_ANSWER_BYTES)
+                body = await read_body(connection, MAX_ANSWER_BYTES, budget=self._bodies)
                 if connection.ended_unframed:
                     await self._check_end(job, tracked)
         except TimeoutError as error:
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -366,32 +366,3 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS)
-
-
-async def read_response(connection: ClientConnection, limit: int) -> tuple[ResponseHead, bytes]:
-    """Read one response with a body of at most `limit` bytes; raises BrokenResponseError."""
-    head = await connection.read()
-    return head, await read_body(connection, limit)
-
-
-async def read_body(
-    connection: ClientConnection, limit: int, *, idle_seconds: float | None = None
-) -> bytes:
-    """Read the body of a response whose head has been read.
-
-    Raises BrokenResponseError, and TimeoutError if no part of the body arrives for `idle_seconds`.
-    A body over `limit` bytes closes the connection and raises ResponseTooLargeError.
-    """
-    body = bytearray()
-    while True:
-        async with ReplyTimeout(idle_seconds):
-            event = await connection.read()
-        if isinstance(event, BodyEnd):
-            return bytes(body)
-        if isinstance(event, BodyPart):
-            body += event.data
-        if len(body) > limit:
-            connection.close()
-            raise ResponseTooLargeError(
-                f"{connection.address}: the body exceeds {limit} bytes", received=True
-            )
--- a/egretford/platform/store.py
+++ b/egretford/platform/store.py
@@ -17,12 +17,8 @@
     StoreUnavailableError,
     VersionConflictError,
 )
-from egretford.http.client import (
-    BrokenResponseError,
-    ClientConnection,
-    ConnectError,
-    read_body,
-)
+from egretford.http.bodies import read_body
+from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError
 from egretford.http.messages import encode_head
 from egretford.platform.json import decode_json
 from egretford.timeouts import ReplyTimeout
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -9,13 +9,8 @@
 
 import pytest
 
-from egretford.http.client import (
-    BodyEnd,
-    BrokenResponseError,
-    ClientConnection,
-    ConnectError,
-    read_response,
-)
+from egretford.http.bodies import read_response
+from egretford.http.client import BodyEnd, BrokenResponseError, ClientConnection, ConnectError
 from tests.endless import FLOOD_BYTES, assert_memory_below, run_endless
 
 
--- a/tests/http/test_tunnel.py
+++ b/tests/http/test_tunnel.py
@@ -11,12 +11,12 @@
 import pytest
 
 from egretford.http import tunnel
+from egretford.http.bodies import read_response
 from egretford.http.client import (
     BrokenResponseError,
     ClientConnection,
     ConnectError,
     TargetUnreachableError,
-    read_response,
 )
 from egretford.http.tunnel import TunnelRefusedError, TunnelServer
 from tests.platform.standins import NullLog
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,7 +19,8 @@
 
 from attrs import Factory, define
 
-from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError, read_response
+from egretford.http.bodies import read_response
+from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError
 from egretford.http.messages import encode_head
 from tests.soak.checks import (
     check_all,
