Read less at once from the ends of a tunnel

128 tunnels, as many as an entry carries, kept 33.5 MB when both ends sent and neither read: each end paused the other in time, but up to 256 kB had been read at once before. Both directions of all tunnels could take 82 MB by reckoning, of a memory that may be 128 MB.

At most 64 kB are read at once now, into a buffer that all tunnels share.

--- a/egretford/http/tunnel.py
+++ b/egretford/http/tunnel.py
@@ -25,6 +25,8 @@
 MAX_HEAD_BYTES = 4_096
 # Connections on which no tunnel was admitted yet; any further ones are reset.
 MAX_UNADMITTED = 256
+# Bytes read at once; with as many as a transport buffers before it pauses, they may wait at an end.
+READ_BYTES = 65_536
 # Connections waiting to be accepted.
 BACKLOG = 512
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -55,6 +57,8 @@
         self._log = log
         self._tasks = TaskGroup()
         self._server: asyncio.Server | None = None
+        # Shared, as received bytes are passed on before any others are received.
+        self.read_buffer = bytearray(READ_BYTES)
         self._connections: set[_CallerEnd] = set()
         self.tunnels: set[_CallerEnd] = set()
 
@@ -113,17 +117,18 @@
         try:
             async with ReplyTimeout(self._connect_timeout):
                 _, upstream = await loop.create_connection(
-                    lambda: _TunnelEnd(caller), host, int(port)
+                    lambda: _TunnelEnd(self.read_buffer, caller), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise TunnelRefusedError(TARGET_UNREACHABLE_STATUS, repr(error)) from error
         return upstream
 
 
-class _TunnelEnd(asyncio.Protocol):
+class _TunnelEnd(asyncio.BufferedProtocol):
     """One of the two connections of a tunnel; `other` is set once both are open."""
 
-    def __init__(self, other: _TunnelEnd | None = None) -> None:
+    def __init__(self, read_buffer: bytearray, other: _TunnelEnd | None = None) -> None:
+        self._read_buffer = read_buffer
         self.other = other
         self.closed = False
         self._transport: asyncio.Transport | None = None
@@ -136,6 +141,14 @@
         if self.other is not None and self.other.closed:
             self.reset()
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for received bytes, which limits how many are read at once."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle received bytes."""
+        self.data_received(bytes(memoryview(self._read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Pass data on."""
         self.other.write(data)
@@ -197,7 +210,7 @@
     """The connection of the instance that asks for a tunnel; `peer` is its IP address."""
 
     def __init__(self, server: TunnelServer) -> None:
-        super().__init__()
+        super().__init__(server.read_buffer)
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._target = bytearray()
