An unusable report of a worker's process is a value, not an error

tests/platform/test_odd_entries.py::test_no_header_or_state_of_a_worker_raises was red since: decoding what a worker says of its process raised ValueError for other bytes than JSON, which the adapter promises not to do. The one caller handled it, so no caller of egretford saw anything. The report is now decoded into a type that says whether it is usable.

--- a/egretford/entry/models.py
+++ b/egretford/entry/models.py
@@ -160,6 +160,18 @@
     slots: int
 
 
+@frozen
+class ProcessReport:
+    """What a process at a worker's address says of itself.
+
+    `is_usable` is False if the response is not that of a process that serves requests. `born` is
+    its start as in the worker list, None if it does not say.
+    """
+
+    is_usable: bool
+    born: int | None = None
+
+
 @frozen
 class WorkerReply:
     """The decoded head of a worker's response.
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -12,7 +12,7 @@
 from egretford.errors import UpstreamLostError, UpstreamRefusedError, UpstreamUnreachableError
 from egretford.http.bodies import read_response
 from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError
-from egretford.platform.wire import decode_start_time, encode_state_request
+from egretford.platform.wire import decode_process_report, encode_state_request
 from egretford.timeouts import ReplyTimeout
 
 # Timeout, in seconds, and size limit, in bytes, of a worker's report of its state, which takes one
@@ -205,10 +205,7 @@
         connection.send(encode_state_request(tracked.worker))
         async with ReplyTimeout(timeout):
             head, body = await read_response(connection, MAX_STATE_BYTES)
-        try:
-            born = decode_start_time(head, body)
-        except ValueError as error:
-            raise BrokenResponseError(f"unusable state: {error}", received=True) from error
-        if born is None and connection.ended_unframed:
-            raise BrokenResponseError("a state that may be cut off", received=True)
-        return born
+        report = decode_process_report(head, body)
+        if not report.is_usable or (report.born is None and connection.ended_unframed):
+            raise BrokenResponseError("no usable report of its state", received=True)
+        return report.born
--- a/egretford/platform/wire.py
+++ b/egretford/platform/wire.py
@@ -8,6 +8,7 @@
 
 from egretford.entry.models import (
     CallerRequest,
+    ProcessReport,
     PromptPart,
     Worker,
     WorkerLoad,
@@ -117,18 +118,16 @@
     return encode_head(STATE_REQUEST, [(b"Host", worker.address.encode("latin-1"))])
 
 
-def decode_start_time(head: ResponseHead, body: bytes) -> int | None:
-    """Return when the process that answered a state request started; None if it does not say.
-
-    Raises ValueError if the response is not the report of a process that serves requests.
-    """
-    if head.status in _NO_STATE:
-        return None
+def decode_process_report(head: ResponseHead, body: bytes) -> ProcessReport:
+    """Decode a worker's response to a request for the state of its process."""
     if head.status != 200:
-        raise ValueError(f"status {head.status}")
-    document = orjson.loads(body)
+        return ProcessReport(is_usable=head.status in _NO_STATE)
+    try:
+        document = orjson.loads(body)
+    except ValueError:
+        return ProcessReport(is_usable=False)
     born = document.get("born") if isinstance(document, dict) else None
-    return born if type(born) is int else None
+    return ProcessReport(is_usable=True, born=born if type(born) is int else None)
 
 
 def decode_reply(head: ResponseHead) -> WorkerReply:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -19,7 +19,7 @@
 from egretford.platform.json import decode_json
 from egretford.platform.store import MetadataStore
 from egretford.platform.stored_state import StoredEvacuations, decode_view
-from egretford.platform.wire import decode_reply, decode_request, decode_start_time
+from egretford.platform.wire import decode_process_report, decode_reply, decode_request
 from tests.platform.standins import ListeningStandin, NullLog
 
 GOOD = {"backend": "b", "address": "10.1.0.1:80", "zone": "z", "version": "1", "slots": 4}
@@ -215,7 +215,7 @@
     headers = Headers([(b"Server-Load", f"{first},{second},1".encode())])
     headers.add(b"Keep-Alive", f"timeout={first}".encode())
     decode_reply(ResponseHead(200, headers))
-    decode_start_time(ResponseHead(200, headers), body)
+    decode_process_report(ResponseHead(200, headers), body)
 
 
 @given(odd_numbers, st.binary(max_size=30))
