A stream is told by its content, as callers send no other mark

What callers saw: events of two services, or of two versions, joined in one stream as whole (ORDER), or resumptions that were refused for as long as an entry lived once a second version had been there.

Cause: the record of a stream's origin was found by a header field, `Resumes`, that no page of the platform names and no caller sends. So the record was written and never found, the upstream of a split was drawn by the id of each attempt, and a version was never forgotten.

Change: the key of a stream is a hash of method, host, path, body, program, session, previous turn and prompt. Each attempt is recorded under it, with its origin; keepers say how old a record is, so that what is over refuses nobody. A resumption goes on at the one origin that the attempts in the time of a stream have, and is refused if there are two. The same key chooses the upstream where there is no session. Without a record, an entry goes on only where all that it knew in that time is one upstream and one version; versions and configurations are forgotten after that. A stream that could be taken for another one is not begun without a record.

Why it works: all that a caller repeats decides, at every entry alike, and what cannot be told apart is refused.

Tests: those that sent `Resumes` send the content again instead, with streams that differ, as callers do. They check the same answers and workers as before; that an unknown field changes nothing stays checked.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -157,7 +157,7 @@
             request=request.id,
             worker=chosen.worker.id,
             version=chosen.worker.software_version,
-            resumes=request.resumed_request,
+            resume_after=request.resume_after,
             candidates=len(candidates),
             running=round(chosen.state.running, 1),
             cached=inputs.cached.get(chosen.worker.id, 0),
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -25,6 +25,7 @@
 from egretford.policy.crashes import Crash, make_fingerprint
 from egretford.policy.retry_after import RetryAfterAdvice
 from egretford.policy.routes import RouteIndex, choose_upstream
+from egretford.policy.streams import RecentRoutes, get_split_key
 
 # Cause, for the retry advice, of refusing turns whose records cannot be read or reserved. For
 # refusals while forwarding, the cause is the upstream.
@@ -63,7 +64,7 @@
         self._rng = rng
         self._retry_advice = RetryAfterAdvice(rng)
         self._log = log
-        self._index: RouteIndex | None = None
+        self._routes = RecentRoutes()
         self._server: HttpServer | None = None
         self._detached: set[asyncio.Task[None]] = set()
         self._stop_at: float | None = None
@@ -72,7 +73,7 @@
     @property
     def configuration_version(self) -> int | None:
         """The version of the configuration in force, if any."""
-        return None if self._index is None else self._index.table.version
+        return None if self._routes.current is None else self._routes.current.table.version
 
     def attach_server(self, server: HttpServer) -> None:
         """Set the server whose request limits follow the configuration."""
@@ -97,7 +98,7 @@
         if current_version is not None and table.version <= current_version:
             return
         self._workers.apply_configuration(table)
-        self._index = RouteIndex(table)
+        self._routes.replace(RouteIndex(table), self._clock.monotonic())
         if self._server is not None:
             self._server.limits = table.limits
         self._log.info(
@@ -120,13 +121,13 @@
             self._send_error(request, responder, error, http)
 
     async def _dispatch(self, request: CallerRequest, responder: Responder) -> None:
-        if self._index is None:
+        if self._routes.current is None:
             raise RequestError(
                 ErrorKind.NOT_READY,
                 "no configuration is known yet",
                 retry_after_seconds=self._rng.uniform(*STARTING_RETRY_SECONDS),
             )
-        route = self._index.find(request.host, request.path)
+        route = self._routes.current.find(request.host, request.path)
         if route is None:
             raise RequestError(ErrorKind.UNKNOWN_ROUTE, "no route matches host and path")
         coroutine = self._serve(request, route, responder)
@@ -164,7 +165,7 @@
         job = ForwardingJob(
             request=request,
             route=route,
-            upstream=choose_upstream(route, request.session or request.stream_id),
+            upstream=choose_upstream(route, get_split_key(request, route)),
             body=request.http.body,
             responder=responder,
             deadline=started + limit,
@@ -203,13 +204,16 @@
                 self._limits.discard(limit)
 
     async def _run(self, job: ForwardingJob) -> None:
-        if job.route.keeps_turns and job.request.resumes:
+        request, route = job.request, job.route
+        if route.keeps_turns and request.resumes:
             # It could only be kept without the events that its caller has.
             message = "a turn that is kept cannot be resumed"
             raise RequestError(ErrorKind.STORE_UNAVAILABLE, message)
-        if job.route.kind is RouteKind.STREAMING and job.route.resumable:
+        if route.kind is RouteKind.STREAMING and route.resumable:
+            now = self._clock.monotonic()
+            former = self._routes.list_former(request.host, request.path, now)
             with self._set_retry_after(job.upstream):
-                job.stream = await self._origins.open(job.request, job.route, job.upstream)
+                job.stream = await self._origins.open(request, route, job.upstream, former)
             job.upstream = job.stream.upstream
         with self._set_retry_after(KEEPERS_CAUSE):
             admission = await self._admit(job)
@@ -219,6 +223,8 @@
         finally:
             if admission is not None:
                 admission.settle(job.events)
+            if job.stream is not None and not job.events:
+                job.stream.record_no_event()
 
     @contextmanager
     def _set_retry_after(self, cause: str) -> Iterator[None]:
@@ -243,7 +249,7 @@
         )
         if not is_turn:
             return None
-        upstream = self._index.table.upstreams.get(job.upstream)
+        upstream = self._routes.current.table.upstreams.get(job.upstream)
         engine = upstream.engine if upstream else None
         event_tokens = engine.event_tokens if engine else 1
         try:
--- a/egretford/entry/models.py
+++ b/egretford/entry/models.py
@@ -120,8 +120,7 @@
 class CallerRequest:
     """One attempt of a caller at a request; times in seconds since it was received.
 
-    `resumed_request` is the id of the attempt that delivered the first event of a stream that
-    this attempt resumes after the event `resume_after`.
+    `resume_after` is the id of the last event that the caller has of a stream that it resumes.
     """
 
     id: str
@@ -138,17 +137,11 @@
     prompt: tuple[PromptPart, ...] = Factory(tuple)
     previous_turn: str | None = None
     resume_after: str | None = None
-    resumed_request: str | None = None
 
     @property
     def resumes(self) -> bool:
         """Whether the caller already has events of this stream."""
-        return self.resumed_request is not None or self.resume_after is not None
-
-    @property
-    def stream_id(self) -> str:
-        """The id that all attempts at one stream share."""
-        return self.resumed_request or self.id
+        return self.resume_after is not None
 
 
 @frozen
--- a/egretford/entry/origins.py
+++ b/egretford/entry/origins.py
@@ -1,8 +1,9 @@
-"""The software version that began a stream, recorded at the keepers for attempts to resume it."""
+"""The origins of streams, recorded at the keepers for attempts to resume them."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from attrs import define
@@ -11,23 +12,28 @@
 from egretford.entry.models import CallerRequest, Route, Worker
 from egretford.entry.workers import WorkerTable
 from egretford.errors import ErrorKind, RequestError
-from egretford.keeper.messages import Reserve, Reserved
-from egretford.policy.ledger import UNKNOWN_VERSION, Charge, StreamOrigin, merge_ledgers
+from egretford.keeper.messages import FindAttempts, FoundAttempts, Keep, Kept
+from egretford.policy.ledger import UNKNOWN_VERSION, Charge, StreamOrigin
+from egretford.policy.routes import choose_upstream
+from egretford.policy.streams import (
+    SPREAD_SECONDS,
+    AttemptRecord,
+    find_origins,
+    get_split_key,
+    get_stream_seconds,
+    make_stream_key,
+)
 from egretford.timeouts import ReplyTimeout
 
 # Prefix of the keys of streams' records, which keeps them apart from programs.
 STREAM_PREFIX = "stream/"
-# Timeout, in seconds, of reading the record of a stream that is resumed.
+# Timeout, in seconds, of reading the records of a stream that is resumed.
 READ_TIMEOUT_SECONDS = 0.5
 # Seconds that a stream's first event waits for its record. Keepers take some tens of milliseconds
 # from another region, and workers as long to produce the event.
 WRITE_TIMEOUT_SECONDS = 0.5
 
 
-# Time after a stream has broken off within which its caller resumes it, in seconds.
-BREAK_SECONDS = 1.0
-
-
 class StreamOrigins:
     """Reads and writes the records of streams' origins through the keepers."""
 
@@ -36,101 +42,149 @@
         self._workers = workers
         self._log = log
 
-    async def open(self, request: CallerRequest, route: Route, upstream: str) -> Stream:
+    async def open(
+        self,
+        request: CallerRequest,
+        route: Route,
+        upstream: str,
+        former_routes: Sequence[Route] = (),
+    ) -> Stream:
         """Return the stream that a request begins or resumes.
 
-        Raises RequestError if it is not certain which software version began a resumed one.
+        `former_routes` are those that the request may have had when the stream began. Raises
+        RequestError if it is not certain where a resumed stream began, or if a new one could not
+        be recorded although it may be taken for another.
         """
-        stream = Stream(self, request.stream_id, upstream)
-        if not request.resumes:
-            return stream
-        origin = await self._read(request.resumed_request) if request.resumed_request else None
-        versions = self._workers.list_known_versions(upstream)
-        recorded = origin is not None
+        routes = [route, *former_routes]
+        program = STREAM_PREFIX + make_stream_key(request)
+
+        def is_only_origin() -> bool:
+            return len(self._list_possible(request, routes)) <= 1
+
+        stream = Stream(self, program, request.id, upstream, is_only_origin)
+        if request.resumes:
+            origin = await self._find_origin(request, routes, program)
+            stream.upstream, stream.origin, stream.is_fixed = origin.upstream, origin, True
+        elif not is_only_origin() and not self._keepers.expects_quorum(program):
+            raise RequestError(ErrorKind.STORE_UNAVAILABLE, "the stream could not be recorded")
+        return stream
+
+    def _list_possible(self, request: CallerRequest, routes: list[Route]) -> set[StreamOrigin]:
+        """Return all origins that attempts at a stream may have, as far as this entry knows."""
+        seconds = get_stream_seconds(routes) + SPREAD_SECONDS
+        upstreams = {choose_upstream(route, get_split_key(request, route)) for route in routes}
+        return {
+            StreamOrigin(0, upstream, version)
+            for upstream in upstreams
+            for version in self._workers.list_recent_versions(upstream, seconds)
+        }
+
+    async def _find_origin(
+        self, request: CallerRequest, routes: list[Route], program: str
+    ) -> StreamOrigin:
+        """Return the only origin that a resumed stream can have; raises RequestError if unknown."""
+        seconds = get_stream_seconds(routes)
+        records, are_all = await self._read(program, seconds + READ_TIMEOUT_SECONDS)
+        recorded = find_origins(records, seconds + READ_TIMEOUT_SECONDS)
+        possible = self._list_possible(request, routes)
         known_seconds = self._workers.measure_known_seconds()
-        may_be_older = known_seconds < route.timeout + BREAK_SECONDS
-        if origin is None and len(versions) == 1 and not may_be_older:
-            # Whichever worker began it, it was of this version.
-            origin = StreamOrigin(0, upstream, *versions)
-            if request.resumed_request:
-                # Later attempts may reach entries that know other versions only.
-                write = self.start_write(request.resumed_request, origin)
-                await asyncio.wait([write], timeout=WRITE_TIMEOUT_SECONDS)
+        found = recorded if are_all else recorded | possible
+        if not recorded:
+            # A stream may begin without a record; this entry knows where if it is old enough.
+            found = possible if known_seconds >= seconds else set()
+        origin = next(iter(found)) if len(found) == 1 else None
         allowed = origin is not None and origin.is_known
-        allowed = allowed and origin.upstream in {t.upstream for t in route.targets}
+        allowed = allowed and origin.upstream in {t.upstream for t in routes[0].targets}
         self._log.info(
             "a stream is resumed" if allowed else "cannot tell where a stream may be resumed",
             request=request.id,
-            resumes=request.resumed_request,
-            recorded=recorded,
+            stream=program,
+            after=request.resume_after,
             upstream=origin.upstream if origin else None,
             version=origin.version if origin else None,
-            known_versions=sorted(versions),
+            attempts=[
+                f"{r.charge.request}: {r.charge.origin.upstream} {r.charge.origin.version}"
+                f" {r.age:.2f} s{' ended' if r.charge.settled else ''}"
+                for r in records
+            ],
+            possible=sorted(f"{other.upstream} {other.version}" for other in possible),
             known_s=round(known_seconds, 2),
         )
         if not allowed:
             raise RequestError(ErrorKind.OVERLOADED, "it is not known where the stream began")
-        stream.upstream, stream.origin, stream.is_fixed = origin.upstream, origin, True
-        return stream
+        return origin
 
-    async def _read(self, stream_id: str) -> StreamOrigin | None:
-        """Return the recorded origin of a stream, or None if a quorum knows or answers nothing."""
+    async def _read(self, program: str, seconds: float) -> tuple[list[AttemptRecord], bool]:
+        """Return the recorded attempts at a stream, and whether these are all that are recorded."""
         try:
             async with ReplyTimeout(READ_TIMEOUT_SECONDS):
-                return await self._merge(stream_id, None)
+                # Callers resume streams just after connections were reset, those to keepers
+                # included.
+                quorum_request = await self._keepers.request_quorum(
+                    program,
+                    lambda member: FindAttempts(program, seconds),
+                    FoundAttempts,
+                    fail_fast=False,
+                )
         except (KeepersUnavailableError, TimeoutError) as error:
             self._log.info(
-                "the origin of a stream cannot be read", stream=stream_id, error=str(error)
+                "the origin of a stream cannot be read", stream=program, error=str(error)
             )
-            return None
-
-    async def write(self, stream_id: str, origin: StreamOrigin) -> bool:
-        """Record an origin; returns whether a quorum has it on disk."""
+            return [], False
+        replies = quorum_request.replies.values()
+        records = [
+            AttemptRecord(charge, age)
+            for reply in replies
+            for charge, age in zip(reply.attempts.unpack(), reply.ages, strict=True)
+        ]
+        return records, not any(reply.more for reply in replies)
+
+    async def write(self, charge: Charge) -> bool:
+        """Record an attempt; returns whether a quorum has it on disk."""
         try:
-            await self._merge(stream_id, origin)
+            await self._keepers.request_quorum(
+                charge.program, lambda member: Keep(charge, None), Kept
+            )
         except KeepersUnavailableError as error:
             self._log.info(
-                "the origin of a stream is not recorded", stream=stream_id, error=str(error)
+                "the origin of a stream is not recorded",
+                request=charge.request,
+                stream=charge.program,
+                error=str(error),
             )
             return False
         return True
 
-    async def _merge(self, stream_id: str, origin: StreamOrigin | None) -> StreamOrigin | None:
-        """Merge an origin into a stream's record, and return the result."""
-        charge = Charge(STREAM_PREFIX + stream_id, "", 0, origin=origin)
-        # Callers resume streams just after connections were reset, those to keepers included.
-        quorum_request = await self._keepers.request_quorum(
-            charge.program,
-            lambda member: Reserve(charge, None, with_chain=False),
-            Reserved,
-            fail_fast=origin is not None,
-        )
-        ledger = merge_ledgers(reply.charges.unpack() for reply in quorum_request.replies.values())
-        return ledger.charges[charge.request].origin
-
-    def start_write(self, stream_id: str, origin: StreamOrigin) -> asyncio.Task[bool]:
-        """Record an origin in the background."""
-        return self._keepers.run_in_background(self.write(stream_id, origin))
+    def start_write(self, charge: Charge) -> asyncio.Task[bool]:
+        """Record an attempt in the background."""
+        return self._keepers.run_in_background(self.write(charge))
 
-    def log_unrecorded(self, stream_id: str, origin: StreamOrigin) -> None:
+    def log_unrecorded(self, request: str, origin: StreamOrigin) -> None:
         """Log that a stream begins before its origin is recorded."""
         self._log.info(
             "a stream begins without a record of its origin",
-            stream=stream_id,
+            request=request,
             version=origin.version,
         )
 
 
 @define
 class Stream:
-    """A resumable stream and its origin, which is fixed once the caller may have an event."""
+    """An attempt at a stream that may be resumed, and the stream's origin.
+
+    The origin is fixed once the caller may have an event. `_is_only_origin` tells whether any other
+    attempt at the stream would have the same.
+    """
 
     _origins: StreamOrigins
-    id: str
+    _program: str
+    _attempt: str
     upstream: str
+    _is_only_origin: Callable[[], bool]
     origin: StreamOrigin | None = None
     is_fixed: bool = False
     _write: asyncio.Task[bool] | None = None
+    _may_deliver: bool = False
 
     def allows(self, worker: Worker) -> bool:
         """Whether a worker's software version may continue the stream."""
@@ -147,20 +201,29 @@
         if not self.is_fixed and (self.origin is None or self.origin.version != version):
             revision = 0 if self.origin is None else self.origin.revision + 1
             self.origin = StreamOrigin(revision, self.upstream, version)
-            self._write = self._origins.start_write(self.id, self.origin)
+            self._write = None
+        if self._write is None:
+            self._write = self._origins.start_write(self._make_record())
+
+    def _make_record(self, *, settled: bool = False) -> Charge:
+        return Charge(self._program, self._attempt, 0, settled, self.origin)
 
     async def fix(self) -> bool:
-        """Fix the version before the first event; returns whether the event may be delivered.
+        """Fix the origin before the first event; returns whether the event may be delivered.
 
-        A stream may begin without a record, as nobody reads a wrong one then. That does not hold
-        where another version was recorded before, or where the process may be another than listed.
+        A stream may begin without a record where nobody can read a wrong one then.
         """
-        if self.is_fixed:
+        if self._may_deliver:
             return True
         await asyncio.wait([self._write], timeout=WRITE_TIMEOUT_SECONDS)
         if not (self._write.done() and not self._write.cancelled() and self._write.result()):
-            if self.origin.revision or not self.origin.is_known:
+            if self.origin.revision or not self.origin.is_known or not self._is_only_origin():
                 return False
-            self._origins.log_unrecorded(self.id, self.origin)
-        self.is_fixed = True
+            self._origins.log_unrecorded(self._attempt, self.origin)
+        self._may_deliver = self.is_fixed = True
         return True
+
+    def record_no_event(self) -> None:
+        """Record in the background that the attempt has ended before its caller got an event."""
+        if self._write is not None:
+            self._write = self._origins.start_write(self._make_record(settled=True))
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -27,8 +27,9 @@
 INITIAL_ENGINE_SECONDS = 0.15
 INITIAL_SERVICE_SECONDS = 0.03
 MAX_IDLE_CONNECTIONS = 8
-# Software versions remembered per upstream; only whether there is more than one matters.
-MAX_KNOWN_VERSIONS = 4
+# Versions without workers that are remembered per upstream, those that left last. Only whether
+# there is more than one version matters.
+MAX_FORMER_VERSIONS = 4
 
 
 class StoreRecovery(Protocol):
@@ -82,7 +83,8 @@
         self._log = log
         self._workers: dict[str, TrackedWorker] = {}
         self._leaving_runs = LeavingRuns()
-        self._known_versions: dict[str, set[str]] = {}
+        # By upstream and software version, when its last worker left, in monotonic seconds.
+        self._former_versions: dict[str, dict[str, float]] = {}
         self._table: RoutingTable | None = None
         self.listed_at: float | None = None
         self.first_listed_at: float | None = None
@@ -127,12 +129,10 @@
             return
         if existing is not None:
             existing.close_idle()
+            self._record_former_version(existing.worker, self._clock.monotonic())
             if existing.worker.address != worker.address:
                 self._dialer.forget(existing.worker)
         self._workers[worker.id] = self._build_tracked(worker, leaving)
-        versions = self._known_versions.setdefault(worker.upstream, set())
-        if len(versions) < MAX_KNOWN_VERSIONS:
-            versions.add(worker.software_version)
         self._log.info(
             "learnt of a worker",
             worker=worker.id,
@@ -186,9 +186,23 @@
             return 0.0
         return self._clock.monotonic() - self.first_listed_at
 
-    def list_known_versions(self, upstream: str) -> set[str]:
-        """Return the software versions of all workers of an upstream since this entry started."""
-        return self._known_versions.get(upstream, set())
+    def list_recent_versions(self, upstream: str, seconds: float) -> set[str]:
+        """Return the software versions of an upstream's workers in the last `seconds`."""
+        now = self._clock.monotonic()
+        self._remove_due(now)
+        former = self._former_versions.get(upstream, {})
+        recent = {version for version, left_at in former.items() if now - left_at <= seconds}
+        return recent | {
+            tracked.worker.software_version
+            for tracked in self._workers.values()
+            if tracked.worker.upstream == upstream
+        }
+
+    def _record_former_version(self, worker: Worker, left_at: float) -> None:
+        former = self._former_versions.setdefault(worker.upstream, {})
+        former[worker.software_version] = left_at
+        while len(former) > MAX_FORMER_VERSIONS:
+            del former[min(former, key=former.__getitem__)]
 
     def list_usable(
         self, upstream: str, allows: Callable[[Worker], bool] | None = None
@@ -233,6 +247,7 @@
             if tracked.remove_at is not None and now >= tracked.remove_at:
                 tracked.close_idle()
                 self._dialer.forget(tracked.worker)
+                self._record_former_version(tracked.worker, tracked.remove_at)
                 del self._workers[worker_id]
                 self._log.info("removed a worker", worker=worker_id)
 
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -105,6 +105,27 @@
     view: int = field(default=0, kw_only=True)
 
 
+@frozen
+class FindAttempts:
+    """Reads the records of the attempts at a stream that were received in the last `seconds`."""
+
+    program: str
+    seconds: float
+    view: int = field(default=0, kw_only=True)
+
+
+@frozen
+class FoundAttempts:
+    """The attempts at a stream that a keeper knows, with the ages of their records in seconds.
+
+    `more` says that there are others that are not listed.
+    """
+
+    attempts: ProgramCharges
+    ages: tuple[float, ...]
+    more: bool
+
+
 @frozen
 class Kept:
     """The request was applied, and its records or view are synced to disk."""
@@ -313,6 +334,7 @@
     AdoptView
     | Reserve
     | Keep
+    | FindAttempts
     | ListRecords
     | FetchTurns
     | ListRenewals
@@ -324,6 +346,7 @@
 KeeperReply = (
     Reserved
     | Kept
+    | FoundAttempts
     | RecordPage
     | TurnPage
     | RenewalPage
--- a/egretford/keeper/records.py
+++ b/egretford/keeper/records.py
@@ -21,8 +21,10 @@
 # A program's charges are kept this long after the last one. A program that has paused can
 # continue within the retention of its turns, which is one minute on the known deployments.
 LEDGER_RETENTION_SECONDS = 150.0
-# Records of streams' origins are kept this long; callers wait some seconds for a stream.
+# Records of attempts at streams are kept this long; callers wait some seconds for a stream.
 ORIGIN_RETENTION_SECONDS = 60.0
+# Attempts at one stream that are listed. A caller makes a few; others are of equal streams.
+MAX_LISTED_ATTEMPTS = 64
 PAGE_RECORDS = 500
 # Expired turns that a log line names.
 LOGGED_IDS = 5
@@ -39,9 +41,12 @@
 
 @define
 class _StoredLedger:
+    """The charges of a program; `attempts` has the time at which those with an origin came."""
+
     ledger: Ledger
     expires_at: float
     segments: dict[str, int] = Factory(dict)
+    attempts: dict[str, float] = Factory(dict)
 
 
 @define
@@ -146,6 +151,8 @@
                     LEDGER_RETENTION_SECONDS if record.origin is None else ORIGIN_RETENTION_SECONDS
                 )
                 held.expires_at = max(held.expires_at, now + retention)
+                if record.origin is not None:
+                    held.attempts.setdefault(record.request, now)
                 if held.ledger.merge(record):
                     held.segments[record.request] = segment
                     self._assign_position(("charge", record.program, record.request))
@@ -162,6 +169,21 @@
         held = self._ledgers.get(program)
         return tuple(held.ledger.charges.values()) if held else ()
 
+    def list_attempts(self, program: str, seconds: float) -> tuple[list[Charge], list[float], bool]:
+        """Return the attempts at a stream that came in the last `seconds`, newest first.
+
+        With them come their ages in seconds, and whether there are more than are listed.
+        """
+        held = self._ledgers.get(program)
+        if held is None:
+            return [], [], False
+        now = self._clock.monotonic()
+        newest_first = reversed(held.attempts.items())
+        recent = [(request, now - at) for request, at in newest_first if now - at <= seconds]
+        listed = recent[:MAX_LISTED_ATTEMPTS]
+        charges = [held.ledger.charges[request] for request, _ in listed]
+        return charges, [age for _, age in listed], len(recent) > len(listed)
+
     def read_chain(self, turn_id: str) -> tuple[tuple[Turn, ...], str | None]:
         """Return a turn's chain, oldest turn first, and the id at which it breaks off.
 
@@ -313,8 +335,19 @@
         for program in [key for key, held in self._ledgers.items() if now >= held.expires_at]:
             for request in self._ledgers.pop(program).ledger.charges:
                 self._positions.pop(("charge", program, request), None)
+        for program, held in self._ledgers.items():
+            self._expire_attempts(program, held, now)
         await self._remove_oldest_segment()
 
+    def _expire_attempts(self, program: str, held: _StoredLedger, now: float) -> None:
+        """Delete old attempts at a stream of whose content there are always new ones."""
+        for request, received_at in list(held.attempts.items()):
+            if now - received_at < ORIGIN_RETENTION_SECONDS:
+                return
+            del held.attempts[request], held.ledger.charges[request]
+            held.segments.pop(request, None)
+            self._positions.pop(("charge", program, request), None)
+
     async def _remove_oldest_segment(self) -> None:
         """Remove the oldest segment once its turns have expired.
 
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -19,6 +19,8 @@
     AnnounceEntry,
     EntryList,
     FetchTurns,
+    FindAttempts,
+    FoundAttempts,
     Keep,
     KeeperReply,
     KeeperRequest,
@@ -230,10 +232,12 @@
                 return self._refuse(message, "copying turns from other keepers")
             case Reserve():
                 return await self._reserve(message)
+            case FindAttempts():
+                return await self._find_attempts(message)
             case Keep():
                 return await self._keep(message)
 
-    def _refuse(self, message: Reserve | Keep, reason: str) -> NotReady:
+    def _refuse(self, message: Reserve | Keep | FindAttempts, reason: str) -> NotReady:
         """Log the state that a refusal follows from, at a limited rate, and return the reply."""
         now = self._clock.monotonic()
         if self._refusal_log_due.get(reason, 0.0) > now:
@@ -246,7 +250,7 @@
             "refused a request",
             kind=type(message).__name__,
             reason=reason,
-            program=message.charge.program if message.charge is not None else None,
+            program=_get_program(message),
             previous=previous,
             chain=len(turns),
             missing=missing,
@@ -292,6 +296,14 @@
             charges = ProgramCharges.pack(charge.program, held)
         return Reserved(charges, chain if message.with_chain else (), missing)
 
+    async def _find_attempts(self, message: FindAttempts) -> KeeperReply:
+        if not await self._wait_until_covered(message.program):
+            return self._refuse(message, "copying charges from other keepers")
+        if message.view < self.view.number:
+            return OutdatedView(self.view)
+        charges, ages, more = self._records.list_attempts(message.program, message.seconds)
+        return FoundAttempts(ProgramCharges.pack(message.program, charges), tuple(ages), more)
+
     async def _keep(self, message: Keep) -> KeeperReply:
         records = [record for record in (message.charge, message.turn) if record is not None]
         await self._records.write(records)
@@ -395,3 +407,9 @@
         """
         number, copied = self.copy_progress.get(disk, (0, -1))
         return number >= view_number and copied >= position
+
+
+def _get_program(message: Reserve | Keep | FindAttempts) -> str | None:
+    if isinstance(message, FindAttempts):
+        return message.program
+    return message.charge.program if message.charge is not None else None
--- a/egretford/platform/wire.py
+++ b/egretford/platform/wire.py
@@ -41,7 +41,6 @@
 PROMPT_PARTS = b"Prompt-Prefix"  # all parts of the prompt, not only a shared prefix
 PREVIOUS_TURN = b"Previous-Turn"  # the request id of the previous turn
 LAST_EVENT_ID = b"Last-Event-Id"
-RESUMES = b"Resumes"  # the request id of the attempt that delivered the stream's first event
 
 # Fields that only this scheduler may send to workers; removed from callers' requests. Lower case.
 RESERVED = frozenset(
@@ -84,7 +83,6 @@
         prompt=_read_prompt(headers),
         previous_turn=headers.get_text(PREVIOUS_TURN) or None,
         resume_after=headers.get_text(LAST_EVENT_ID) or None,
-        resumed_request=headers.get_text(RESUMES) or None,
     )
 
 
--- a/egretford/policy/ledger.py
+++ b/egretford/policy/ledger.py
@@ -41,7 +41,8 @@
 class Charge:
     """The most that one turn may cost or, once settled, what it did cost, in tokens.
 
-    The record of a stream that may be resumed is a charge of no tokens with an `origin`.
+    The record of an attempt at a stream that may be resumed is a charge of no tokens with an
+    `origin`; it is settled once the attempt has ended without an event.
     """
 
     program: str
--- a/tests/entry/test_origins.py
+++ b/tests/entry/test_origins.py
@@ -8,7 +8,7 @@
 from egretford.entry.workers import WorkerTable
 from egretford.errors import PeerUnreachableError
 from egretford.http.messages import Headers, HttpRequest
-from egretford.keeper.messages import ProgramCharges, Reserved
+from egretford.keeper.messages import FoundAttempts, ProgramCharges
 from egretford.metrics import Metrics
 from egretford.policy.ledger import Charge, StreamOrigin
 from tests.entry.test_workers import FakeClock, FakeStoreRecovery
@@ -29,9 +29,8 @@
             if name in reset:
                 reset.discard(name)
                 raise PeerUnreachableError(name)
-            charge = message.charge
-            held = Charge(charge.program, charge.request, 0, origin=ORIGIN)
-            return Reserved(ProgramCharges.pack(charge.program, [held]), (), None)
+            held = Charge(message.program, "p", 0, origin=ORIGIN)
+            return FoundAttempts(ProgramCharges.pack(message.program, [held]), (0.0,), False)
 
         return reply
 
@@ -44,8 +43,8 @@
             Worker(version, "m", "10.0.0.1:80", "z", 1, False, software_version=version)
         )
     origins = StreamOrigins(client, workers, NullLog())
-    assert not await origins.write("other", ORIGIN)
+    assert not await origins.write(Charge("other", "o", 0, origin=ORIGIN))
     assert not client.list_available()
-    request = CallerRequest("q", "h", "/", HTTP, resumed_request="p", resume_after="2")
+    request = CallerRequest("q", "h", "/", HTTP, resume_after="2")
     stream = await origins.open(request, ROUTE, "m")
     assert stream.is_fixed and stream.origin == ORIGIN
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -173,11 +173,11 @@
 
 
 def test_a_request_that_resumes_a_stream_is_decoded_and_forwarded():
-    request = decode_request(make_http(Request_Id="r2", Resumes="r1", Last_Event_Id="7"))
-    assert (request.resumed_request, request.resume_after) == ("r1", "7")
+    request = decode_request(make_http(Request_Id="r2", Last_Event_Id="7"))
+    assert request.resume_after == "7"
     worker = Worker("w1", "m", "10.0.0.1:80", "z", 1, False)
     text = encode_request(request, worker, 1.0, b"", "9")
-    assert text.count(b"Resumes: r1") == 1 and text.count(b"Last-Event-Id: 9") == 1
+    assert text.count(b"Request-Id: r2") == 1 and text.count(b"Last-Event-Id: 9") == 1
 
 
 def test_a_route_of_an_unknown_kind_is_not_repeated():
--- a/tests/platform/test_event_order.py
+++ b/tests/platform/test_event_order.py
@@ -52,9 +52,7 @@
     set_script(deployment, send_two_events)
     await begin_stream(deployment, caller, "p1")
     set_script(deployment, stream_from(first))
-    answer = await caller.ask(
-        "/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2"
-    )
+    answer = await caller.ask("/plan/1", body=b"p1", request_id="p2", Last_Event_Id="2")
     assert (answer.status, len(deployment.arrivals("p2"))) == (502, 3)
 
 
@@ -63,9 +61,7 @@
     set_script(deployment, send_two_events)
     await begin_stream(deployment, caller, "p1")
     set_script(deployment, stream_from(3))
-    answer = await caller.ask(
-        "/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2"
-    )
+    answer = await caller.ask("/plan/1", body=b"p1", request_id="p2", Last_Event_Id="2")
     assert (answer.body, answer.is_complete) == (make_event(3) + make_event(4), True)
 
 
@@ -102,7 +98,7 @@
     set_script(deployment, send_two_events)
     await begin_stream(deployment, caller, "p1")
     set_script(deployment, None)
-    answer = await other.ask("/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2")
+    answer = await other.ask("/plan/1", body=b"p1", request_id="p2", Last_Event_Id="2")
     assert answer.status == 503 and not deployment.arrivals("p2")
     again = await other.ask("/plan/1", body=b"x", request_id="p3")
     assert again.is_complete
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -19,19 +19,19 @@
         yield running
 
 
-async def set_version(deployment, worker, version, born=2000):
+async def set_version(deployment, worker, version, born=2000, upstream="models"):
     """Let a worker be a new process of another version, and wait until all entries know it."""
     worker.version, worker.born = version, born
-    await list_worker(deployment, worker)
+    await list_worker(deployment, worker, upstream)
 
 
-async def list_worker(deployment, worker):
+async def list_worker(deployment, worker, upstream="models"):
     deployment.store.put("servers", worker.id, worker.describe())
     await deployment.wait_until(
         lambda: all(
             any(
                 t.worker.id == worker.id and t.worker.software_version == worker.version
-                for t in entry.workers.list_usable("models")
+                for t in entry.workers.list_usable(upstream)
             )
             for entry in deployment.entries
         )
@@ -56,16 +56,20 @@
     return True
 
 
-async def begin_stream(deployment, caller, request_id):
-    """Read two events of a new stream, break off, and return the worker that sent them."""
+async def begin_stream(deployment, caller, request_id, body=None):
+    """Read two events of a new stream, break off, and return the worker that sent them.
+
+    By default, the body is the request's id, so that streams differ.
+    """
+    body = request_id.encode() if body is None else body
     connection = await ClientConnection.open(caller.address, 1.0)
     fields = [
         (b"Host", b"farm.example"),
         (b"Request-Id", request_id.encode()),
         (b"Deadline-Ms", b"3000"),
-        (b"Content-Length", b"1"),
+        (b"Content-Length", b"%d" % len(body)),
     ]
-    connection.send(encode_head(b"POST /plan/1 HTTP/1.1", fields) + b"x")
+    connection.send(encode_head(b"POST /plan/1 HTTP/1.1", fields) + body)
     received = b""
     async with asyncio.timeout(3):
         while received.count(b"\n\n") < 2:
@@ -78,8 +82,9 @@
 
 
 async def resume(caller, request_id, resumed="p1"):
+    """Resume the stream of which the first attempt had the id `resumed`."""
     return await caller.ask(
-        "/plan/1", body=b"x", request_id=request_id, Resumes=resumed, Last_Event_Id="2"
+        "/plan/1", body=resumed.encode(), request_id=request_id, Last_Event_Id="2"
     )
 
 
