A framed response without an event is no whole stream

What callers saw: 200, whole and empty, for a stream that a worker truncated before its first event; a turn was kept with an empty output, and the next one was built on it (ORDER).

Cause: an event was asked for only where the response had neither a length nor chunks. A framing says where the bytes end, not that the worker has run the request, which it does with its first event.

Evidence: tests/platform/test_empty_streams.py on the code before: of 21 cases, those of new streams and of turns got 200.

Change: only a response that goes on from an event of the caller's may have none. Before the first event, the attempt counts as lost: a stream that may be resumed is sent again, others end with 502, which promises nothing.

--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -120,9 +120,11 @@
                 silence = _Silence(self._clock.monotonic())
         if splitter.has_partial_event:
             raise UpstreamLostError("the stream ended inside an event", crashed=True)
-        if not part.is_framed and job.events == events_before:
-            # A worker that was lost after its head looks the same.
-            raise UpstreamLostError("the connection ended before an event", crashed=True)
+        if job.events == events_before and not (part.is_framed and job.sequence.last is not None):
+            # Only the rest of a stream may be empty, and unframed not even that: a worker that was
+            # lost after its head looks the same.
+            crashed = not part.is_framed
+            raise UpstreamLostError("the response ended before an event", crashed=crashed)
         if not part.is_framed:
             limit = job.history.idle_timeout if job.route.resumable else None
             await self._check_end(job, tracked, limit)
