A resumption after an event without a number is invalid

What callers saw: with `Last-Event-Id: -1`, the events from 0 on as whole, whatever the worker made of the field (ORDER).

Cause: an id that is no whole number was not compared with the next event, but passed on to the worker. Events have numbers, so nobody got such an id.

Change: such a request to a stream gets 400, like other malformed fields, and reaches no worker.

Evidence: tests/platform/test_event_order.py, 21 new cases; on the code before, all of them fail (the kept turn's got 503, the others reached a worker). They pass now.

--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -21,6 +21,7 @@
 from egretford.http.responder import CallerGoneError, Responder
 from egretford.http.server import HttpServer
 from egretford.metrics import Metrics
+from egretford.numbers import parse_whole_number
 from egretford.platform.wire import decode_request, encode_refusal_fields
 from egretford.policy.crashes import Crash, make_fingerprint
 from egretford.policy.retry_after import RetryAfterAdvice
@@ -205,10 +206,8 @@
 
     async def _run(self, job: ForwardingJob) -> None:
         request, route = job.request, job.route
-        if route.keeps_turns and request.resumes:
-            # It could only be kept without the events that its caller has.
-            message = "a turn that is kept cannot be resumed"
-            raise RequestError(ErrorKind.STORE_UNAVAILABLE, message)
+        if route.kind is RouteKind.STREAMING and request.resumes:
+            _check_resumption(request, route)
         if route.kind is RouteKind.STREAMING and route.resumable:
             now = self._clock.monotonic()
             former = self._routes.list_former(request.host, request.path, now)
@@ -309,3 +308,14 @@
             return
         fields = encode_refusal_fields(request.id if request else "", retry_after)
         responder.send_response(status, Headers(fields), error.message.encode() + b"\n")
+
+
+def _check_resumption(request: CallerRequest, route: Route) -> None:
+    """Raise RequestError if a stream cannot go on after the event that its caller names."""
+    if parse_whole_number(request.resume_after) is None:
+        message = "the id of the last event must be a whole number"
+        raise RequestError(ErrorKind.BAD_REQUEST, message)
+    if route.keeps_turns:
+        # It could only be kept without the events that its caller has.
+        message = "a turn that is kept cannot be resumed"
+        raise RequestError(ErrorKind.STORE_UNAVAILABLE, message)
--- a/tests/platform/test_event_order.py
+++ b/tests/platform/test_event_order.py
@@ -134,3 +134,11 @@
     answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
     assert (answer.body, answer.is_complete) == (b"data: word 1\n\n", False)
     assert len(deployment.arrivals("p1")) == 1
+
+
+# Guards against events that nothing is compared with, as the caller's last one has no number.
+@pytest.mark.parametrize("last", ["-1", "x", "1.5", "+1", "1_0", "0x1", "1" * 16])
+@pytest.mark.parametrize("path", ["/plan/1", "/tell/1", "/chat/1"])
+async def test_a_resumption_after_an_event_without_a_number_is_invalid(deployment, path, last):
+    answer = await deployment.callers[0].ask(path, body=b"x", request_id="p1", Last_Event_Id=last)
+    assert answer.status == 400 and not deployment.arrivals("p1")
