A stream is resumed only where its route allows it

What callers saw: by `Last-Event-Id` on a route that is not resumable, a second run's events as the rest of the first (ORDER); neither version nor upstream was looked at.

Cause: the entry checked the origin for resumable routes only, and passed the field on for all.

Change: such a request gets 503 before it reaches a worker, as it does for turns that are kept. Its caller begins anew.

Evidence: the new test in tests/platform/test_event_order.py is red on the code before, where the worker's events 3 and 4 came as whole.

--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -319,3 +319,6 @@
         # It could only be kept without the events that its caller has.
         message = "a turn that is kept cannot be resumed"
         raise RequestError(ErrorKind.STORE_UNAVAILABLE, message)
+    if not route.resumable:
+        message = "streams of this route cannot be resumed"
+        raise RequestError(ErrorKind.STORE_UNAVAILABLE, message)
--- a/tests/platform/test_event_order.py
+++ b/tests/platform/test_event_order.py
@@ -142,3 +142,11 @@
 async def test_a_resumption_after_an_event_without_a_number_is_invalid(deployment, path, last):
     answer = await deployment.callers[0].ask(path, body=b"x", request_id="p1", Last_Event_Id=last)
     assert answer.status == 400 and not deployment.arrivals("p1")
+
+
+# Guards against two runs in one stream where its route allows only one.
+async def test_a_stream_of_a_route_that_does_not_allow_it_is_not_resumed(deployment):
+    answer = await deployment.callers[0].ask(
+        "/tell/1", body=b"x", request_id="p1", Last_Event_Id="2"
+    )
+    assert answer.status == 503 and not deployment.arrivals("p1")
