Soak: callers send only documented fields, streams are split, and workers truncate

The soak's callers resumed streams by a field that no page names, with a body of their own each time. They now repeat the request with `Last-Event-Id`, half of them in a session. Streams are split between two upstreams whose weights change with the configuration; events name the upstream and the version. Workers end one stream in a hundred, framed, before its first event. The new workers draw from generators of their own and are left out of the other faults, so that seeds of before produce the same of these.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,7 +19,7 @@
 from tests.soak.processes import CORE
 from tests.soak.workers import (
     EVENTS_PER_STREAM,
-    VERSIONS,
+    ORIGINS,
     join_stream_events,
     make_complete_stream,
 )
@@ -30,7 +30,7 @@
 MAX_CRASH_RETRIES = 3
 # Time after a crash until all entries know of it.
 CRASH_SETTLE_SECONDS = 4.0
-COMPLETE_STREAMS = [make_complete_stream(version) for version in VERSIONS]
+COMPLETE_STREAMS = [make_complete_stream(origin) for origin in ORIGINS]
 EVENT_ID = re.compile(rb"id: (\d+)\n")
 
 
@@ -237,7 +237,7 @@
 
 
 def check_resumed_streams(load: Load, arrivals: dict[str, list[Arrival]]):
-    """The events of a stream and of what goes on from it are in order, and of one version."""
+    """The events of a stream and of what goes on from it are in order, and of one origin."""
     streams: dict[str, list[Attempt]] = defaultdict(list)
     for attempt in load.attempts:
         if attempt.kind == "plan":
@@ -257,8 +257,8 @@
             events += received
         if [number for number, _ in events] != list(range(1, len(events) + 1)):
             yield f"ORDER: {stream_id} has {events} in {[a.id for a in attempts]}"
-        if len({version for _, version in events}) > 1:
-            yield f"ORDER: {stream_id} is joined from versions: {events}"
+        if len({origin for _, origin in events}) > 1:
+            yield f"ORDER: {stream_id} is joined from origins: {events}"
 
 
 def is_answer_required(load: Load, attempt: Attempt, arrivals: list[Arrival]) -> bool:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,11 +16,9 @@
 
 from attrs import Factory, define
 
-from egretford.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
-from tests.platform.deployment import make_configuration
 from tests.platform.standins import WorkerStandin
 from tests.soak.load import Load
-from tests.soak.processes import CORE, Cluster, Disruption, Kill, Node
+from tests.soak.processes import CORE, OTHER_ENGINES, Cluster, Disruption, Kill, Node
 from tests.soak.proxy import Mode, Proxy
 from tests.soak.workers import CRASHING_BODY, EVENTS_PER_STREAM, VERSIONS
 
@@ -152,13 +150,18 @@
         return True
 
     async def _worker_cut(self) -> bool:
-        name, proxy = self.rng.choice(list(self.cluster.worker_proxies.items()))
+        name, proxy = self.rng.choice(self._list_proxies())
         return await self._impair_proxy(proxy, 2.0, name)
 
     async def _worker_reset(self) -> bool:
-        name, proxy = self.rng.choice(list(self.cluster.worker_proxies.items()))
+        name, proxy = self.rng.choice(self._list_proxies())
         return self._reset_connections(proxy, name)
 
+    def _list_proxies(self) -> list[tuple[str, Proxy]]:
+        """Return the workers' proxies, but those of workers that older seeds do not have."""
+        proxies = self.cluster.worker_proxies.items()
+        return [item for item in proxies if not item[0].startswith(OTHER_ENGINES)]
+
     async def _worker_leave(self) -> bool:
         return await self._replace_worker(crash=False)
 
@@ -226,7 +229,8 @@
 
     async def _worker_silence(self) -> bool:
         """Let a worker be silent for about a second, which costs no request its answer."""
-        worker = self.worker_rng.choice(self.cluster.workers)
+        workers = [w for w in self.cluster.workers if w.upstream != OTHER_ENGINES]
+        worker = self.worker_rng.choice(workers)
         await self.cluster.silence_worker(worker.id, self.worker_rng.uniform(0.7, 1.2))
         return True
 
@@ -394,6 +398,5 @@
 
     async def _configuration(self) -> bool:
         self.cluster.version += self.rng.randint(1, 5)
-        document = make_configuration(self.cluster.version)
-        self.cluster.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+        self.cluster.put_configuration()
         return True
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -17,7 +17,7 @@
     ConnectError,
 )
 from tests.platform.standins import Answer, Caller, WorkerStandin
-from tests.soak.processes import Cluster
+from tests.soak.processes import OTHER_ENGINES, Cluster
 from tests.soak.workers import STREAM_EVENT, WorkerScript
 
 EVENT_TOKENS = 10
@@ -46,6 +46,7 @@
     sent_at: float
     entry: str = ""
     expected_body: bytes = b""
+    fields: dict[str, str] = Factory(dict)
     previous: str | None = None
     reused_connection: bool = False
     # For a stream that goes on: the attempt that began it, and its last event.
@@ -106,9 +107,14 @@
 
     def set_worker_script(self, worker: WorkerStandin) -> None:
         """Make a worker delay its answers and sometimes break them off."""
-        seed = self.rng.random()
+        is_other = worker.upstream == OTHER_ENGINES
+        # Seeds recorded before there were such workers still produce the same load.
+        seed = f"script {worker.id}" if is_other else self.rng.random()
         worker.script = WorkerScript(
-            self.cluster, random.Random(seed), random.Random(f"framing {seed}")
+            self.cluster,
+            random.Random(seed),
+            random.Random(f"framing {seed}"),
+            random.Random(f"empty {seed}"),
         )
 
     async def stop(self) -> None:
@@ -168,7 +174,7 @@
             if attempt.served:
                 return
             await asyncio.sleep(self.rng.uniform(0.0, 0.3))
-            resumed = (first.id, events[-1][0]) if events else None
+            resumed = (first, events[-1][0]) if events else None
             attempt = await self.send_request(chain, "plan", resumed=resumed)
             if resumed is None:
                 first = attempt
@@ -187,7 +193,7 @@
         chain: Chain,
         kind: str,
         connections: dict[str, ClientConnection] | None = None,
-        resumed: tuple[str, int] | None = None,
+        resumed: tuple[Attempt, int] | None = None,
         body: bytes | None = None,
         leave_after: int | None = None,
         broken: Attempt | None = None,
@@ -195,11 +201,14 @@
         """Send a request through a random entry, reusing an open connection if there is one.
 
         With `leave_after`, the caller leaves the stream after that event. With `broken`, the turn
-        follows one whose answer broke off; this does not become part of the chain.
+        follows one whose answer broke off; this does not become part of the chain. `resumed` is the
+        first attempt at a stream and the last event that its caller has.
         """
         entry = self.rng.choice(self.cluster.entries)
         loop = asyncio.get_running_loop()
         number = next(self._counter)
+        if resumed is not None:
+            body = resumed[0].expected_body
         if body is None:
             body = f"in-{number} ".encode() if kind != "ping" else b""
         attempt = Attempt(f"r{number}", kind, chain.program, loop.time(), entry.name)
@@ -219,9 +228,13 @@
                 attempt.broken, attempt.previous = broken, broken.id
             if attempt.previous is not None:
                 headers["Previous_Turn"] = attempt.previous
+        if kind == "plan" and number % 2:
+            headers = {"Program_Id": chain.program, "Session_Id": chain.program}
         if resumed is not None:
-            attempt.resumes, attempt.resume_after = resumed
-            headers = {"Resumes": resumed[0], "Last_Event_Id": str(resumed[1])}
+            first, attempt.resume_after = resumed
+            attempt.resumes = first.id
+            headers = {**first.fields, "Last_Event_Id": str(attempt.resume_after)}
+        attempt.fields = headers
         method = "GET" if kind == "ping" else "POST"
         # Pings differ, or a few killed workers would have the only one blocked as crashing them.
         path = "ping" if kind == "crash" else kind
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -15,6 +15,7 @@
 
 from attrs import Factory, define, frozen
 
+from egretford.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from egretford.platform.stored_state import VIEW_KIND, VIEW_NAME
 from tests.platform.deployment import ZONES, find_free_port, make_configuration
 from tests.platform.standins import StoreStandin, WorkerStandin
@@ -46,6 +47,10 @@
 """
 STOP_TIMEOUT_SECONDS = 8.0
 UNLIMITED = resource.RLIM_INFINITY
+# A second upstream of engines, which has its own name in events; streams are split with it.
+OTHER_ENGINES = "drafts"
+# The weights of the second upstream for streams that may be resumed, of 100.
+OTHER_WEIGHTS = (0, 10, 50, 90, 100)
 # Target of disruptions of the keepers or the store, which may affect any request.
 CORE = "core"
 # Requests sent within this many seconds after an unplanned disruption may fail.
@@ -181,13 +186,15 @@
 
     async def start(self) -> None:
         await self.store.start()
-        self.store.put("config", "main", make_configuration(self.version))
+        self.put_configuration()
         self.store_proxy = Proxy(self.store.address)
         await self.store_proxy.start()
         zones = list(ZONES)
         for number in range(6):
             upstream = "models" if number < 3 else "booking"
             await self.add_worker(f"{upstream}-{number}", upstream, zones[number % 3])
+        for number in range(2):
+            await self.add_worker(f"{OTHER_ENGINES}-{number}", OTHER_ENGINES, zones[number])
         for number in range(self.keeper_count):
             self.keepers.append(await self._make_node("keeper", number, zones[number % 3]))
         for number in range(self.entry_count):
@@ -195,8 +202,22 @@
         for node in (*self.keepers, *self.entries):
             node.start()
 
+    def put_configuration(self) -> None:
+        """Store a configuration of the present version, which decides the weights of streams."""
+        document = make_configuration(self.version)
+        (models,) = [s for s in document["services"] if s["name"] == "models"]
+        document["services"].append({**models, "name": OTHER_ENGINES})
+        (route,) = [r for r in document["routes"] if r["name"] == "plan"]
+        weight = random.Random(f"weights {self.version}").choice(OTHER_WEIGHTS)
+        del route["backend"]
+        route["traffic_split"] = [
+            {"backend": "models", "weight": 100 - weight},
+            {"backend": OTHER_ENGINES, "weight": weight},
+        ]
+        self.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+
     async def add_worker(self, name: str, upstream: str, zone: str) -> None:
-        worker = WorkerStandin(name, upstream, zone, engine=upstream == "models")
+        worker = WorkerStandin(name, upstream, zone, engine=upstream != "booking")
         await worker.start()
         proxy = Proxy(worker.address)
         await proxy.start()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -63,12 +63,12 @@
 
 # Guards against stream checks that compare with a stream that workers never send.
 def test_the_expected_stream_is_what_workers_send():
-    events = [make_stream_event(number, "v1") for number in range(1, 5)]
+    events = [make_stream_event(number, "models/v1") for number in range(1, 5)]
     assert make_complete_stream() == b"".join(events)
-    assert events[0] == b"id: 1\ndata: word 1 v1\n\n"
+    assert events[0] == b"id: 1\ndata: word 1 models/v1\n\n"
 
 
-JOINED_STREAM = make_complete_stream("v1")[:50] + make_complete_stream("v2")[50:]
+JOINED_STREAM = make_complete_stream("models/v1")[:50] + make_complete_stream("models/v2")[50:]
 
 
 def make_attempt(kind="chat", status=200, body=None, **fields) -> Attempt:
@@ -90,8 +90,16 @@
         (checks.check_promised_refusals, make_attempt("book", 402), make_arrivals(b"")),
         (checks.check_bodies, make_attempt(expected_body=b"a b"), make_arrivals(b"b")),
         (checks.check_answers, make_attempt("ping", body=b"done r2"), make_arrivals()),
-        (checks.check_answers, make_attempt(body=make_stream_event(1, "v1")), make_arrivals()),
-        (checks.check_answers, make_attempt(body=make_stream_event(2, "v1")), make_arrivals()),
+        (
+            checks.check_answers,
+            make_attempt(body=make_stream_event(1, "models/v1")),
+            make_arrivals(),
+        ),
+        (
+            checks.check_answers,
+            make_attempt(body=make_stream_event(2, "models/v1")),
+            make_arrivals(),
+        ),
         (checks.check_answers, make_attempt(body=JOINED_STREAM), make_arrivals()),
         (checks.check_known_turns, make_attempt(status=404), make_arrivals()),
     ],
@@ -113,7 +121,7 @@
 # planned work, as while a keeper was replaced (incident report docs/incidents/inc1.md).
 def test_the_check_of_ended_answers_goes_red():
     attempt = make_attempt(
-        body=make_stream_event(1, "v1"), entry="entry-1", sent_at=10.0, ended_at=10.5
+        body=make_stream_event(1, "models/v1"), entry="entry-1", sent_at=10.0, ended_at=10.5
     )
     attempt.answer.is_complete = False
     arrivals = make_arrivals(b"")
@@ -260,12 +268,17 @@
 @pytest.mark.parametrize(
     ("first", "rest", "red"),
     [
-        ([(1, "v1"), (2, "v1")], [(3, "v1"), (4, "v1")], False),
-        ([(1, "v1"), (2, "v1")], [(3, "v2"), (4, "v2")], True),
-        ([(1, "v1"), (2, "v1")], [(2, "v1"), (3, "v1"), (4, "v1")], True),
-        ([(1, "v1"), (2, "v1")], [(4, "v1")], True),
-        ([(1, "v1"), (2, "v1")], [(3, "v1")], True),
-        ([(1, "v1"), (2, "v1"), (3, "v1"), (4, "v1")], [], False),
+        ([(1, "models/v1"), (2, "models/v1")], [(3, "models/v1"), (4, "models/v1")], False),
+        ([(1, "models/v1"), (2, "models/v1")], [(3, "models/v2"), (4, "models/v2")], True),
+        ([(1, "models/v1"), (2, "models/v1")], [(3, "drafts/v1"), (4, "drafts/v1")], True),
+        (
+            [(1, "models/v1"), (2, "models/v1")],
+            [(2, "models/v1"), (3, "models/v1"), (4, "models/v1")],
+            True,
+        ),
+        ([(1, "models/v1"), (2, "models/v1")], [(4, "models/v1")], True),
+        ([(1, "models/v1"), (2, "models/v1")], [(3, "models/v1")], True),
+        ([(1, "models/v1"), (2, "models/v1"), (3, "models/v1"), (4, "models/v1")], [], False),
     ],
 )
 def test_the_check_of_resumed_streams_goes_red(first, rest, red):
@@ -283,15 +296,15 @@
 @pytest.mark.parametrize(
     ("received", "history", "red"),
     [
-        (0, make_complete_stream("v2"), False),
-        (1, make_complete_stream("v1"), False),
-        (1, make_complete_stream("v2"), True),
-        (1, make_stream_event(1, "v1"), True),
+        (0, make_complete_stream("models/v2"), False),
+        (1, make_complete_stream("models/v1"), False),
+        (1, make_complete_stream("models/v2"), True),
+        (1, make_stream_event(1, "models/v1"), True),
         (0, JOINED_STREAM, True),
     ],
 )
 def test_the_check_of_broken_turns_goes_red(received, history, red):
-    body = join_stream_events((n + 1, "v1") for n in range(received))
+    body = join_stream_events((n + 1, "models/v1") for n in range(received))
     broken = make_attempt(body=body, expected_body=b"in ")
     broken.id, broken.answer.is_complete = "r0", False
     attempt = make_attempt(expected_body=b"more ", broken=broken, previous="r0")
@@ -338,8 +351,10 @@
     reader, writer = await asyncio.open_connection(*proxy.address.split(":"))
     writer.write(b"POST /plan/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
     answer = await reader.read()
-    assert make_stream_event(1, "v1") in answer and b"\n\nid: 2" in answer.replace(b"\r\n", b"")
-    assert make_stream_event(2, "v1") not in answer
+    assert make_stream_event(1, "models/v1") in answer and b"\n\nid: 2" in answer.replace(
+        b"\r\n", b""
+    )
+    assert make_stream_event(2, "models/v1") not in answer
     with pytest.raises(ConnectionRefusedError):
         await asyncio.open_connection(*proxy.address.split(":"))
     assert await killed
@@ -347,7 +362,7 @@
     spec = cluster.store.objects["servers", "w"]["spec"]
     assert (spec["address"], spec["version"], spec["born"]) == (proxy.address, "v2", 1001)
     again = await Caller(proxy.address).ask("/plan/1")
-    assert (again.body, again.is_complete) == (make_complete_stream("v2"), True)
+    assert (again.body, again.is_complete) == (make_complete_stream("models/v2"), True)
     writer.close()
     await cluster.workers[-1].close()
     await proxy.close()
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -12,13 +12,17 @@
 from egretford.http.messages import encode_head, encode_status_line
 from egretford.http.responder import CallerGoneError, Responder
 from tests.platform.standins import Arrival, WorkerStandin
-from tests.soak.processes import Cluster
+from tests.soak.processes import OTHER_ENGINES, Cluster
 
 EVENTS_PER_STREAM = 4
 VERSIONS = ("v1", "v2")
+# The upstream and the version of the workers of engines, as their events name them.
+ORIGINS = tuple(f"{u}/{v}" for u in ("models", OTHER_ENGINES) for v in VERSIONS)
 # Begins the body of requests that crash each worker that runs them.
 CRASHING_BODY = b"crash-"
 STREAM_EVENT = re.compile(rb"id: (\d+)\ndata: word \d+ (\S+)\n\n")
+# Share of the streams that a worker ends before their first event, as if they were whole.
+EMPTY_STREAMS = 0.01
 # Pause after an event, in seconds, by the first part of the path.
 EVENT_PAUSES = {b"plan": 0.02, b"chat": 0.005}
 # Time in which what a worker wrote passes its proxy before the worker is killed.
@@ -84,11 +88,15 @@
 
 @define
 class WorkerScript:
-    """Delays answers, and breaks some off; `framing_rng` draws what marks their ends."""
+    """Delays answers, and breaks some off; `framing_rng` draws what marks their ends.
+
+    `empty_rng` draws the streams that are framed and have no event.
+    """
 
     cluster: Cluster
     rng: random.Random
     framing_rng: random.Random
+    empty_rng: random.Random
 
     async def __call__(self, worker: WorkerStandin, arrival: Arrival, responder) -> bool:
         """Handle a request."""
@@ -121,12 +129,16 @@
         """Stream events that name the worker's version; break off at event `upto`."""
         arrival, worker = writer.arrival, writer.worker
         first = int(arrival.headers.get_text(b"Last-Event-Id") or 0) + 1
-        if first > EVENTS_PER_STREAM:
+        is_truncated = first == 1 and self.empty_rng.random() < EMPTY_STREAMS
+        if first > EVENTS_PER_STREAM or is_truncated:
             # Without chunks, a response without events looks like that of a lost worker.
             writer.framing = Framing.CHUNKS
         writer.start()
+        if is_truncated:
+            writer.responder.finish_stream()
+            return
         for number in range(first, EVENTS_PER_STREAM + 1):
-            event = make_stream_event(number, worker.version)
+            event = make_stream_event(number, get_origin(worker))
             if number == upto:
                 await writer.break_off(event)
                 return
@@ -149,16 +161,21 @@
         return True
 
 
-def make_stream_event(number: int, version: str) -> bytes:
-    """Return one event of a stream; it names the version that made it."""
-    return b"id: %d\ndata: word %d %s\n\n" % (number, number, version.encode())
+def get_origin(worker: WorkerStandin) -> str:
+    """Return the name of the upstream and the version of a worker, as its events have it."""
+    return f"{worker.upstream}/{worker.version}"
+
+
+def make_stream_event(number: int, origin: str) -> bytes:
+    """Return one event of a stream; it names the origin that made it."""
+    return b"id: %d\ndata: word %d %s\n\n" % (number, number, origin.encode())
 
 
-def make_complete_stream(version: str = VERSIONS[0]) -> bytes:
-    """Return the complete stream of events that a worker of a version sends."""
-    return join_stream_events((n, version) for n in range(1, EVENTS_PER_STREAM + 1))
+def make_complete_stream(origin: str = ORIGINS[0]) -> bytes:
+    """Return the complete stream of events that a worker of an origin sends."""
+    return join_stream_events((n, origin) for n in range(1, EVENTS_PER_STREAM + 1))
 
 
 def join_stream_events(events) -> bytes:
-    """Return the bytes of events, given as pairs of number and version."""
-    return b"".join(make_stream_event(number, version) for number, version in events)
+    """Return the bytes of events, given as pairs of number and origin."""
+    return b"".join(make_stream_event(number, origin) for number, origin in events)
