--- a/egretford/policy/streams.py
+++ b/egretford/policy/streams.py
@@ -60,31 +60,28 @@
 class RecentRoutes:
     """The configuration in force, and those before it while streams under them may be resumed.
 
-    Times are in monotonic seconds.
+    Each of these comes with the time until which it matters, in monotonic seconds.
     """
 
     current: RouteIndex | None = None
-    _replaced: list[tuple[float, RouteIndex]] = Factory(list)
+    _former: list[tuple[float, RouteIndex]] = Factory(list)
 
     def replace(self, index: RouteIndex, now: float) -> None:
         """Put a configuration in force."""
-        self._forget_old(now)
         if self.current is not None:
-            self._replaced.append((now, self.current))
+            self._former.append((now + _get_memory_seconds(self.current), self.current))
         self.current = index
+        self._forget_old(now)
 
     def list_former(self, host: str, path: str, now: float) -> list[Route]:
         """Return the routes that requests may have had lately, without the present one."""
         self._forget_old(now)
-        found = (index.find(host, path) for _, index in self._replaced)
+        found = (index.find(host, path) for _, index in self._former)
         return [route for route in found if route is not None]
 
     def _forget_old(self, now: float) -> None:
-        self._replaced = [
-            (replaced_at, index)
-            for replaced_at, index in self._replaced
-            if now - replaced_at <= _get_memory_seconds(index)
-        ]
+        if any(until < now for until, _ in self._former):
+            self._former = [item for item in self._former if item[0] >= now]
 
 
 def _get_memory_seconds(index: RouteIndex) -> float:
--- a/tests/entry/test_workers.py
+++ b/tests/entry/test_workers.py
@@ -278,3 +278,27 @@
         runs.add(entry)
     assert not runs.match_entry(entries[0])
     assert all(runs.match_entry(entry) for entry in entries[1:])
+
+
+# Guards against streams that are joined from two versions, or refused, for what was there before.
+def test_a_version_without_workers_is_known_for_the_time_that_is_asked_for():
+    workers, clock = make_table()
+    first = evolve(WORKER, software_version="v1", born=1)
+    workers.update_worker(first)
+    workers.update_worker(evolve(first, id="m-2"))
+    workers.update_worker(evolve(first, software_version="v2", born=2))
+    assert workers.list_recent_versions("models", 0.0) == {"v1", "v2"}
+    workers.schedule_removal("m-2")
+    clock.time += REMOVAL_DELAY_SECONDS + 5.0
+    assert workers.list_recent_versions("models", 5.0) == {"v1", "v2"}
+    assert workers.list_recent_versions("models", 4.9) == {"v2"}
+    assert workers.list_recent_versions("other", 5.0) == set()
+
+
+def test_many_former_versions_are_still_more_than_one():
+    workers, clock = make_table()
+    for number in range(100):
+        clock.time += 0.01
+        workers.update_worker(evolve(WORKER, software_version=f"v{number}", born=number + 1))
+    assert 1 < len(workers.list_recent_versions("models", 1.0)) < 10
+    assert workers.list_recent_versions("models", 0.0) >= {"v99"}
--- a/tests/keeper/test_records.py
+++ b/tests/keeper/test_records.py
@@ -8,6 +8,7 @@
 from egretford.keeper.messages import Turn
 from egretford.keeper.records import (
     LEDGER_RETENTION_SECONDS,
+    MAX_LISTED_ATTEMPTS,
     ORIGIN_RETENTION_SECONDS,
     RETENTION_MARGIN_SECONDS,
     Records,
@@ -219,3 +220,52 @@
     clock.time = 100.0
     await records.expire()
     assert [turn.id for turn in records.read_chain("t4")[0]] == ["t3", "t4"]
+
+
+def make_attempt(request, version="v1", settled=False):
+    return Charge("s", request, 0, settled, StreamOrigin(0, "models", version))
+
+
+# Guards against attempts that are over, and decide where a stream is resumed.
+async def test_attempts_are_listed_with_the_age_of_their_first_record(tmp_path):
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    await records.write([make_attempt("a")])
+    clock.time = 3.0
+    await records.write([make_attempt("b", "v2"), make_attempt("a", settled=True)])
+    clock.time = 4.0
+    listed, ages, more = records.list_attempts("s", 4.0)
+    assert listed == [make_attempt("b", "v2"), make_attempt("a", settled=True)]
+    assert (ages, more) == ([1.0, 4.0], False)
+    assert records.list_attempts("s", 3.9)[0] == [make_attempt("b", "v2")]
+    assert records.list_attempts("other", 4.0) == ([], [], False)
+
+
+# Guards against an attempt whose record seems old because its keeper was restarted.
+async def test_attempts_are_new_after_a_restart(tmp_path):
+    clock = FakeClock()
+    await make_records(tmp_path, clock).write([make_attempt("a")])
+    clock.time = 50.0
+    assert make_records(tmp_path, clock).list_attempts("s", 1.0) == (
+        [make_attempt("a")],
+        [0.0],
+        False,
+    )
+
+
+# Guards against memory, replies and disks that grow with attempts at streams of equal content.
+async def test_attempts_at_equal_streams_stay_bounded(tmp_path):
+    clock = FakeClock()
+    records = make_records(tmp_path, clock)
+    for number in range(1_000):
+        clock.time = number * 1.0
+        await records.write([make_attempt(f"a{number}")])
+        await records.expire()
+        assert len(records.list_charges("s")) <= ORIGIN_RETENTION_SECONDS
+    listed, _, more = records.list_attempts("s", 20.0)
+    assert (len(listed), more) == (21, False)
+    for number in range(100):
+        await records.write([make_attempt(f"b{number}")])
+    listed, _, more = records.list_attempts("s", 20.0)
+    assert len(listed) == MAX_LISTED_ATTEMPTS and more
+    assert listed[0] == make_attempt("b99")
