--- a/tests/platform/test_event_order.py
+++ b/tests/platform/test_event_order.py
@@ -52,9 +52,7 @@
     set_script(deployment, send_two_events)
     await begin_stream(deployment, caller, "p1")
     set_script(deployment, stream_from(first))
-    answer = await caller.ask(
-        "/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2"
-    )
+    answer = await caller.ask("/plan/1", body=b"p1", request_id="p2", Last_Event_Id="2")
     assert (answer.status, len(deployment.arrivals("p2"))) == (502, 3)
 
 
@@ -63,9 +61,7 @@
     set_script(deployment, send_two_events)
     await begin_stream(deployment, caller, "p1")
     set_script(deployment, stream_from(3))
-    answer = await caller.ask(
-        "/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2"
-    )
+    answer = await caller.ask("/plan/1", body=b"p1", request_id="p2", Last_Event_Id="2")
     assert (answer.body, answer.is_complete) == (make_event(3) + make_event(4), True)
 
 
@@ -102,7 +98,7 @@
     set_script(deployment, send_two_events)
     await begin_stream(deployment, caller, "p1")
     set_script(deployment, None)
-    answer = await other.ask("/plan/1", body=b"x", request_id="p2", Resumes="p1", Last_Event_Id="2")
+    answer = await other.ask("/plan/1", body=b"p1", request_id="p2", Last_Event_Id="2")
     assert answer.status == 503 and not deployment.arrivals("p2")
     again = await other.ask("/plan/1", body=b"x", request_id="p3")
     assert again.is_complete
@@ -138,3 +134,19 @@
     answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
     assert (answer.body, answer.is_complete) == (b"data: word 1\n\n", False)
     assert len(deployment.arrivals("p1")) == 1
+
+
+# Guards against events that nothing is compared with, as the caller's last one has no number.
+@pytest.mark.parametrize("last", ["-1", "x", "1.5", "+1", "1_0", "0x1", "1" * 16])
+@pytest.mark.parametrize("path", ["/plan/1", "/tell/1", "/chat/1"])
+async def test_a_resumption_after_an_event_without_a_number_is_invalid(deployment, path, last):
+    answer = await deployment.callers[0].ask(path, body=b"x", request_id="p1", Last_Event_Id=last)
+    assert answer.status == 400 and not deployment.arrivals("p1")
+
+
+# Guards against two runs in one stream where its route allows only one.
+async def test_a_stream_of_a_route_that_does_not_allow_it_is_not_resumed(deployment):
+    answer = await deployment.callers[0].ask(
+        "/tell/1", body=b"x", request_id="p1", Last_Event_Id="2"
+    )
+    assert answer.status == 503 and not deployment.arrivals("p1")
