Text in place of the rest that a caller asked for is no rest

Cause: a block with neither id nor data was an error only once the entry had sent a head to its caller, so only where the entry itself went on. A caller's resumption begins a response of its own; the block passed for a comment, and a framed response without an event for the empty rest of a stream.

Now it is an error wherever events came before, at any entry. That covers the former case: a response is started by an event, and continued only if it has a number.

--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -101,7 +101,7 @@
     ) -> bytes:
         """Relay all events; returns the bytes after the last one, such as a line break."""
         # Text in place of the rest of a stream is an error's, as workers send none before events.
-        splitter = EventSplitter(rejects_text=job.responder.started)
+        splitter = EventSplitter(rejects_text=job.sequence.last is not None)
         events_before = job.events
         job.sequence.start_run()
         silence = _Silence(self._clock.monotonic())
--- a/tests/platform/test_event_order.py
+++ b/tests/platform/test_event_order.py
@@ -7,7 +7,8 @@
 import pytest
 
 from tests.platform.deployment import make_configuration, run_deployment
-from tests.platform.standins import join_events, make_event
+from tests.platform.standins import join_events, make_event, send_raw
+from tests.platform.test_resumed_errors import OK, OWN, WRONG_SUCCESSES, frame
 from tests.platform.test_software_versions import begin_stream, send_two_events
 
 
@@ -150,3 +151,36 @@
         "/tell/1", body=b"x", request_id="p1", Last_Event_Id="2"
     )
     assert answer.status == 503 and not deployment.arrivals("p1")
+
+
+def answer_with(first: bytes, framing: str, text: bytes):
+    """Return a script that answers each request with the same bytes, and its id in them."""
+
+    async def script(worker, arrival, responder):
+        data = frame(first.replace(b"%s", arrival.request_id.encode()), framing, text)
+        return send_raw(responder, data, "close")
+
+    return script
+
+
+RESUMED_WRONG_SUCCESSES = WRONG_SUCCESSES | {
+    f"{name}, {framing}": (OK + OWN, framing, text)
+    for name, text in {
+        "field": b"retry: 3\n\n",
+        "version": b"weight-versions: 2\n\n",
+        "CRLF": b"upstream failure\r\n\r\n",
+        "comment, then text": b": x\n\nupstream failure\n\n",
+    }.items()
+    for framing in ("length", "chunks")
+}
+
+
+# Guards against a stream that ends as complete with an error's text in place of its rest.
+@pytest.mark.parametrize("name", RESUMED_WRONG_SUCCESSES)
+async def test_a_stream_that_a_caller_resumes_is_not_complete_without_its_rest(deployment, name):
+    caller = deployment.callers[0]
+    set_script(deployment, send_two_events)
+    await begin_stream(deployment, caller, "p1")
+    set_script(deployment, answer_with(*RESUMED_WRONG_SUCCESSES[name]))
+    answer = await caller.ask("/plan/1", body=b"p1", request_id="p2", Last_Event_Id="2")
+    assert answer.status == 502
