A worker that closes the connection after its report still gets the stream

What callers saw: 503, no worker takes the request, for streams whose workers closed the connection after `GET /v1/report`, which the platform's workers do by chance.

Cause: the process is asked on the connection that the request then uses; a closed one counted as a refusal.

Change: the request takes a new connection, if that opens within the time in which no other process can have taken the place of the one that has answered; else it counts as before.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -271,7 +271,7 @@
                 raise job.refuse(ErrorKind.TIMEOUT, "no time is left to run the request")
             if job.stream is not None:
                 if job.stream.is_fixed or tracked.failures:
-                    await self._processes.check(job, tracked, connection)
+                    connection = await self._processes.check(job, tracked, connection)
                 elif not connection.is_process_known:
                     connection = await self._processes.identify(job, tracked, connection)
                 is_known = connection.is_process_known or not tracked.worker.born
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -39,14 +39,15 @@
 
     async def check(
         self, job: ForwardingJob, tracked: TrackedWorker, connection: ClientConnection
-    ) -> None:
+    ) -> ClientConnection:
         """Check that the process at a connection is the one that the worker list describes.
 
-        Raises UpstreamUnreachableError if it is another process, and UpstreamLostError or
+        Returns the connection to use, as the worker may close one after its answer. Raises
+        UpstreamUnreachableError if it is another process, and UpstreamLostError or
         UpstreamRefusedError if the worker does not answer.
         """
         if not tracked.worker.born:
-            return
+            return connection
         worker = tracked.worker.id
         try:
             born = await self._read_start_time(tracked, connection)
@@ -57,7 +58,7 @@
                 raise UpstreamLostError(f"no state: {error!r}", crashed=False) from error
             self._workers.record_failure(tracked, f"no state: {error!r}")
             raise UpstreamRefusedError("the worker does not report its state") from error
-        self._compare(job, tracked, connection, born)
+        return await self._compare(job, tracked, connection, born)
 
     async def identify(
         self, job: ForwardingJob, tracked: TrackedWorker, connection: ClientConnection
@@ -80,8 +81,7 @@
                 error=repr(error),
             )
             return await self._reconnect(tracked)
-        self._compare(job, tracked, connection, born)
-        return connection
+        return await self._compare(job, tracked, connection, born)
 
     async def _reconnect(self, tracked: TrackedWorker) -> ClientConnection:
         try:
@@ -90,13 +90,13 @@
             self._workers.record_failure(tracked, str(error))
             raise UpstreamUnreachableError(str(error)) from error
 
-    def _compare(
+    async def _compare(
         self,
         job: ForwardingJob,
         tracked: TrackedWorker,
         connection: ClientConnection,
         born: int | None,
-    ) -> None:
+    ) -> ClientConnection:
         connection.finish(self._workers.now)
         expected = tracked.worker.born
         self._log.info(
@@ -106,12 +106,29 @@
             expected=expected,
             born=born,
         )
-        if not connection.is_usable(self._workers.now):
-            raise UpstreamRefusedError("the worker closed the connection after its state")
         if born is not None and born != expected:
             self._workers.record_failure(tracked, "another process has its id")
             raise UpstreamUnreachableError("another process has the worker's id")
+        if not connection.is_usable(self._workers.now):
+            connection = await self._replace_closed(tracked)
         connection.is_process_known = True
+        return connection
+
+    async def _replace_closed(self, tracked: TrackedWorker) -> ClientConnection:
+        """Return a new connection to a process that has just closed one after its answer.
+
+        Raises UpstreamRefusedError if another process may have taken its place.
+        """
+        message = "the worker closed the connection after its state"
+        answered_at = self._clock.monotonic()
+        try:
+            connection = await self._workers.open_connection(tracked)
+        except ConnectError as error:
+            raise UpstreamRefusedError(message) from error
+        if self._clock.monotonic() - answered_at > PROMPT_CONNECT_SECONDS:
+            connection.close()
+            raise UpstreamRefusedError(message)
+        return connection
 
     async def is_running(self, tracked: TrackedWorker) -> bool:
         """Whether a worker's process proves that it has not ended, by the time of its start."""
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -15,12 +15,14 @@
 from egretford.clock import SystemClock
 from egretford.http.client import BodyEnd, BodyPart, ClientConnection
 from egretford.http.limits import RequestLimits
-from egretford.http.messages import Headers, HttpRequest, encode_head
+from egretford.http.messages import Headers, HttpRequest, encode_head, encode_status_line
 from egretford.http.responder import Responder
 from egretford.http.server import HttpServer
 
 # Objects on one page of a listing.
 PAGE_SIZE = 50
+# Time after a response at which a copy of it is sent, in seconds.
+COPY_DELAY_SECONDS = 0.02
 # With this value of SO_LINGER, closing a socket sends a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -230,6 +232,9 @@
         self.version = "v1"
         self.born = 1000
         self.report_delay = 0.0
+        self.report_fields: list[tuple[bytes, bytes]] = []
+        # The status of a report that is sent twice, the second time with the next response.
+        self.doubled_report: int | None = None
         self.script: Script | None = None
         self.leaving = False
         self.arrivals: list[Arrival] = []
@@ -251,7 +256,7 @@
     async def handle(self, http: HttpRequest, responder: Responder) -> None:
         if http.path == b"/v1/report":
             await asyncio.sleep(self.report_delay)
-            send_json(responder, 200, {"born": self.born, "running": 0})
+            await self._send_report(responder)
             return
         request_id = http.headers.get_text(b"Request-Id") or ""
         expected = http.headers.get_text(b"Expect-Instance")
@@ -269,6 +274,17 @@
             responder.send_response(200, self.sign(request_id), b"done " + request_id.encode())
             arrival.completed = True
 
+    async def _send_report(self, responder: Responder) -> None:
+        body = orjson.dumps({"born": self.born, "running": 0})
+        if self.doubled_report is not None:
+            copy = encode_head(encode_status_line(self.doubled_report), [(b"Content-Length", b"2")])
+            loop, connection = asyncio.get_running_loop(), responder._connection
+            loop.call_later(COPY_DELAY_SECONDS, connection.write, copy + b"{}")
+            send_json(responder, self.doubled_report, {})
+            return
+        fields = [(b"Content-Type", b"application/json"), *self.report_fields]
+        responder.send_response(200, Headers(fields), body)
+
     def sign(self, request_id: str) -> Headers:
         return self.make_headers(
             (b"Request-Id", request_id.encode()),
--- a/tests/platform/test_closing_workers.py
+++ b/tests/platform/test_closing_workers.py
@@ -79,3 +79,24 @@
 
     async with asyncio.timeout(30):
         await asyncio.gather(*(ask_all(c, f"c{n}") for n, c in enumerate(deployment.callers * 2)))
+
+
+# Guards against streams that are refused, as a worker closes the connection after its report.
+async def test_a_stream_is_served_where_reports_end_their_connection(deployment):
+    for worker in deployment.workers:
+        worker.report_fields = [FIELDS["close"]]
+    for number in range(4):
+        answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id=f"p{number}")
+        assert (answer.status, answer.is_complete) == (200, True)
+
+
+# Guards against a copy of a report's response that passes for the response to a request.
+async def test_a_report_that_comes_twice_is_no_answer(deployment):
+    async def wait_for_copy(worker, arrival, responder):
+        await asyncio.sleep(0.1)
+        return False
+
+    for worker in deployment.workers:
+        worker.script, worker.doubled_report = wait_for_copy, 400
+    answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
+    assert (answer.status, answer.body) == (200, WHOLE)
--- a/tests/platform/test_repeated_turns.py
+++ b/tests/platform/test_repeated_turns.py
@@ -121,7 +121,7 @@
 
 
 # Guards against pieces of two runs where a caller resumes elsewhere while its first entry still
-# sends, over a connection that stays open or is silent.
+# sends, over a connection that stays open.
 @pytest.mark.parametrize("first_goes_on", [True, False])
 @pytest.mark.parametrize("entry", [0, 1])
 async def test_a_stream_is_resumed_while_its_first_run_goes_on(deployment, entry, first_goes_on):
