Soak: the second engines have faults of their own, and get fewer streams; names of one word are compared too

The second engines now are cut, reset and upgraded from a generator of their own and get no stream at first, at most half later.

--- a/tests/platform/test_wire_names.py
+++ b/tests/platform/test_wire_names.py
@@ -64,6 +64,8 @@
 NOT_DECODED = {"Model", "Length-Hint", "Weight-Versions", "Wait-Ms"}
 # A field's name as bytes or text, or as a keyword of the stand-in of callers.
 FIELD = re.compile(r"""["']([A-Z][a-z]+(?:[-_][A-Z][a-z]+)+)["']""")
+# In the adapter, also a name of one word, which is a field's if it is bytes.
+ONE_WORD = re.compile(r"""b["']([A-Z][a-z]+)["']""")
 KEYWORD = re.compile(r"\b([A-Z][a-z]+(?:_[A-Z][a-z]+)+)=")
 SENDERS = sorted((ROOT / "tests" / "soak").glob("*.py")) + sorted(
     (ROOT / "tests" / "platform").glob("*.py")
@@ -80,7 +82,7 @@
 
 def list_decoded() -> set[str]:
     source = (ROOT / "egretford" / "platform" / "wire.py").read_text()
-    return set(FIELD.findall(source)) | {"Host"}
+    return set(FIELD.findall(source)) | set(ONE_WORD.findall(source)) | {"Host"}
 
 
 # Guards against a decision that rests on a field that no caller or worker sends.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -57,6 +57,7 @@
 # These have a series and generator of their own for the same reason.
 WORKER_FAULTS = ("worker_upgrade", "worker_silence", "crashing_request")
 KILL_FAULTS = ("worker_kill",)
+OTHER_FAULTS = ("other_worker_cut", "other_worker_reset", "other_worker_upgrade")
 PLANNED = ("entry_term", "entry_hup", "configuration", "worker_leave")
 # How long a request that crashes workers is repeated.
 CRASHING_SECONDS = 12.0
@@ -76,6 +77,7 @@
     keeper_rng: random.Random
     worker_rng: random.Random
     kill_rng: random.Random
+    other_rng: random.Random
     injected: Counter = Factory(Counter)
     problems: list[str] = Factory(list)
     _unavailable_keepers: set[str] = Factory(set)
@@ -89,6 +91,7 @@
             self._run_series(self.keeper_rng, KEEPER_FAULTS, seconds, LONG_PAUSE),
             *(self._run_series(self.worker_rng, (k,), seconds, LONG_PAUSE) for k in WORKER_FAULTS),
             self._run_series(self.kill_rng, KILL_FAULTS, seconds),
+            self._run_series(self.other_rng, OTHER_FAULTS, seconds),
         )
         await asyncio.gather(
             *(self._run_series(self.rng, PLANNED, PLANNED_SECONDS) for _ in range(2)),
@@ -195,12 +198,37 @@
 
     async def _worker_upgrade(self) -> bool:
         """Restart a worker under its id with a new software version, which the list shows later."""
-        worker = self._choose_worker(self.worker_rng, "models")
+        return await self._upgrade_worker(self.worker_rng, "models")
+
+    async def _other_worker_upgrade(self) -> bool:
+        return await self._upgrade_worker(self.other_rng, OTHER_ENGINES)
+
+    async def _other_worker_reset(self) -> bool:
+        worker = self._choose_worker(self.other_rng, OTHER_ENGINES)
+        if worker is None:
+            return False
+        return self._reset_connections(self.cluster.worker_proxies[worker.id], worker.id)
+
+    async def _other_worker_cut(self) -> bool:
+        worker = self._choose_worker(self.other_rng, OTHER_ENGINES)
+        if worker is None:
+            return False
+        proxy = self.cluster.worker_proxies[worker.id]
+        self._reserved_names.add(worker.id)
+        proxy.mode = self.other_rng.choice(IMPAIRED_MODES)
+        with self._record_disruption(worker.id):
+            await asyncio.sleep(self.other_rng.uniform(0.3, 2.0))
+            proxy.mode = Mode.PASS
+        self._reserved_names.discard(worker.id)
+        return True
+
+    async def _upgrade_worker(self, rng: random.Random, upstream: str) -> bool:
+        worker = self._choose_worker(rng, upstream)
         if worker is None:
             return False
         self._reserved_names.add(worker.id)
-        version = self.worker_rng.choice(VERSIONS)
-        lag = self.worker_rng.uniform(0.0, 1.0)
+        version = rng.choice(VERSIONS)
+        lag = rng.uniform(0.0, 1.0)
         await self.cluster.restart_worker(worker, version, delay=0.1, lag=lag)
         self._reserved_names.discard(worker.id)
         return True
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -49,8 +49,10 @@
 UNLIMITED = resource.RLIM_INFINITY
 # A second upstream of engines, which has its own name in events; streams are split with it.
 OTHER_ENGINES = "drafts"
-# The weights of the second upstream for streams that may be resumed, of 100.
-OTHER_WEIGHTS = (0, 10, 50, 90, 100)
+# The weights of the second upstream for streams that may be resumed, of 100. Most streams stay at
+# the first, whose workers have most of the faults; so do all at first.
+OTHER_WEIGHTS = (0, 10, 30, 50)
+FIRST_VERSION = 3
 # Target of disruptions of the keepers or the store, which may affect any request.
 CORE = "core"
 # Requests sent within this many seconds after an unplanned disruption may fail.
@@ -182,7 +184,7 @@
     _tasks: set[asyncio.Task] = Factory(set)
     _silent: dict[str, asyncio.Event] = Factory(dict)
     _kills: list[Kill] = Factory(list)
-    version: int = 3
+    version: int = FIRST_VERSION
 
     async def start(self) -> None:
         await self.store.start()
@@ -209,6 +211,8 @@
         document["services"].append({**models, "name": OTHER_ENGINES})
         (route,) = [r for r in document["routes"] if r["name"] == "plan"]
         weight = random.Random(f"weights {self.version}").choice(OTHER_WEIGHTS)
+        if self.version == FIRST_VERSION:
+            weight = 0
         del route["backend"]
         route["traffic_split"] = [
             {"backend": "models", "weight": 100 - weight},
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -89,7 +89,8 @@
         load = Load(cluster, random.Random(rng.random()), random.Random(f"callers {seed}"))
         load.start(PROGRAMS[size])
         generators = [random.Random(rng.random()) for _ in range(3)]
-        faults = Faults(cluster, load, *generators, random.Random(f"kills {seed}"))
+        own = [random.Random(f"{name} {seed}") for name in ("kills", "others")]
+        faults = Faults(cluster, load, *generators, *own)
         await faults.run(seconds)
         report.injected = faults.injected
         ended_at = asyncio.get_running_loop().time()
