A resumption counts on older records, on no more than was recorded, and on weights in force

- a stream whose record is older than a route's timeout and a second was resumed wherever the entry knew one origin: without a recent record, older ones count;
- a stream that an entry of the last build began, split by the attempt's id, was resumed where its content falls: without a record and a session, all targets of the route are possible;
- a resumption went on at an upstream whose weight is 0 now, as only an older configuration allows;
- beside two versions, new streams were refused for 0.7 s after connections to keepers were reset: their records are written in any case then, and the check beforehand is gone;
- a version was forgotten too early if its workers were removed in another order than they left.

--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -286,7 +286,7 @@
                 await self._read_newer_view()
             view, group = self.view, self.find_group(program)
             quorum = count_group_quorum(len(group), self._tolerated_losses)
-            if fail_fast and not self._expects(group, quorum):
+            if fail_fast and sum(self.is_available(member) for member in group) < quorum:
                 outcomes = [
                     f"{m.name}: {'not asked' if self.is_available(m) else 'unavailable'}"
                     for m in group
@@ -314,14 +314,6 @@
         )
         raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}")
 
-    def expects_quorum(self, program: str) -> bool:
-        """Whether a quorum of a program's group has not failed shortly before."""
-        group = self.find_group(program)
-        return self._expects(group, count_group_quorum(len(group), self._tolerated_losses))
-
-    def _expects(self, group: list[Member], quorum: int) -> bool:
-        return sum(self.is_available(member) for member in group) >= quorum
-
     def _send_to_group(
         self,
         quorum_request: QuorumRequest,
--- a/egretford/entry/origins.py
+++ b/egretford/entry/origins.py
@@ -27,6 +27,8 @@
 
 # Prefix of the keys of streams' records, which keeps them apart from programs.
 STREAM_PREFIX = "stream/"
+# Age, in seconds, up to which records are read; keepers hold them as long.
+RECORD_SECONDS = 60.0
 # Timeout, in seconds, of reading the records of a stream that is resumed.
 READ_TIMEOUT_SECONDS = 0.5
 # Seconds that a stream's first event waits for its record. Keepers take some tens of milliseconds
@@ -52,27 +54,24 @@
         """Return the stream that a request begins or resumes.
 
         `former_routes` are those that the request may have had when the stream began. Raises
-        RequestError if it is not certain where a resumed stream began, or if a new one could not
-        be recorded although it may be taken for another.
+        RequestError if it is not certain where a resumed stream began.
         """
         routes = [route, *former_routes]
         program = STREAM_PREFIX + make_stream_key(request)
 
         def is_only_origin() -> bool:
-            return len(self._list_possible(request, routes)) <= 1
+            keyed = {choose_upstream(r, get_split_key(request, r)) for r in routes}
+            return len(self._list_possible(keyed, routes)) <= 1
 
         stream = Stream(self, program, request.id, upstream, is_only_origin)
         if request.resumes:
             origin = await self._find_origin(request, routes, program)
             stream.upstream, stream.origin, stream.is_fixed = origin.upstream, origin, True
-        elif not is_only_origin() and not self._keepers.expects_quorum(program):
-            raise RequestError(ErrorKind.STORE_UNAVAILABLE, "the stream could not be recorded")
         return stream
 
-    def _list_possible(self, request: CallerRequest, routes: list[Route]) -> set[StreamOrigin]:
-        """Return all origins that attempts at a stream may have, as far as this entry knows."""
+    def _list_possible(self, upstreams: set[str], routes: list[Route]) -> set[StreamOrigin]:
+        """Return all origins that streams at these upstreams may have, as this entry knows."""
         seconds = get_stream_seconds(routes) + SPREAD_SECONDS
-        upstreams = {choose_upstream(route, get_split_key(request, route)) for route in routes}
         return {
             StreamOrigin(0, upstream, version)
             for upstream in upstreams
@@ -84,9 +83,9 @@
     ) -> StreamOrigin:
         """Return the only origin that a resumed stream can have; raises RequestError if unknown."""
         seconds = get_stream_seconds(routes)
-        records, are_all = await self._read(program, seconds + READ_TIMEOUT_SECONDS)
+        records, are_all = await self._read(program)
         recorded = find_origins(records, seconds + READ_TIMEOUT_SECONDS)
-        possible = self._list_possible(request, routes)
+        possible = self._list_possible(_list_upstreams(request, routes), routes)
         known_seconds = self._workers.measure_known_seconds()
         found = recorded if are_all else recorded | possible
         if not recorded:
@@ -94,7 +93,9 @@
             found = possible if known_seconds >= seconds else set()
         origin = next(iter(found)) if len(found) == 1 else None
         allowed = origin is not None and origin.is_known
-        allowed = allowed and origin.upstream in {t.upstream for t in routes[0].targets}
+        allowed = allowed and origin.upstream in {
+            target.upstream for target in routes[0].targets if target.weight > 0
+        }
         self._log.info(
             "a stream is resumed" if allowed else "cannot tell where a stream may be resumed",
             request=request.id,
@@ -114,7 +115,7 @@
             raise RequestError(ErrorKind.OVERLOADED, "it is not known where the stream began")
         return origin
 
-    async def _read(self, program: str, seconds: float) -> tuple[list[AttemptRecord], bool]:
+    async def _read(self, program: str) -> tuple[list[AttemptRecord], bool]:
         """Return the recorded attempts at a stream, and whether these are all that are recorded."""
         try:
             async with ReplyTimeout(READ_TIMEOUT_SECONDS):
@@ -122,7 +123,7 @@
                 # included.
                 quorum_request = await self._keepers.request_quorum(
                     program,
-                    lambda member: FindAttempts(program, seconds),
+                    lambda member: FindAttempts(program, RECORD_SECONDS),
                     FoundAttempts,
                     fail_fast=False,
                 )
@@ -139,11 +140,14 @@
         ]
         return records, not any(reply.more for reply in replies)
 
-    async def write(self, charge: Charge) -> bool:
-        """Record an attempt; returns whether a quorum has it on disk."""
+    async def write(self, charge: Charge, *, fail_fast: bool = True) -> bool:
+        """Record an attempt; returns whether a quorum has it on disk.
+
+        With `fail_fast`, it is not tried if too many keepers failed shortly before.
+        """
         try:
             await self._keepers.request_quorum(
-                charge.program, lambda member: Keep(charge, None), Kept
+                charge.program, lambda member: Keep(charge, None), Kept, fail_fast=fail_fast
             )
         except KeepersUnavailableError as error:
             self._log.info(
@@ -155,9 +159,9 @@
             return False
         return True
 
-    def start_write(self, charge: Charge) -> asyncio.Task[bool]:
+    def start_write(self, charge: Charge, *, fail_fast: bool = True) -> asyncio.Task[bool]:
         """Record an attempt in the background."""
-        return self._keepers.run_in_background(self.write(charge))
+        return self._keepers.run_in_background(self.write(charge, fail_fast=fail_fast))
 
     def log_unrecorded(self, request: str, origin: StreamOrigin) -> None:
         """Log that a stream begins before its origin is recorded."""
@@ -168,6 +172,16 @@
         )
 
 
+def _list_upstreams(request: CallerRequest, routes: list[Route]) -> set[str]:
+    """Return all upstreams at which a stream without a record may have begun.
+
+    Without a session, entries of other versions of this program choose it by other keys.
+    """
+    if request.session:
+        return {choose_upstream(route, request.session) for route in routes}
+    return {target.upstream for route in routes for target in route.targets if target.weight > 0}
+
+
 @define
 class Stream:
     """An attempt at a stream that may be resumed, and the stream's origin.
@@ -203,7 +217,9 @@
             self.origin = StreamOrigin(revision, self.upstream, version)
             self._write = None
         if self._write is None:
-            self._write = self._origins.start_write(self._make_record())
+            self._write = self._origins.start_write(
+                self._make_record(), fail_fast=self._is_only_origin()
+            )
 
     def _make_record(self, *, settled: bool = False) -> Charge:
         return Charge(self._program, self._attempt, 0, settled, self.origin)
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -200,7 +200,7 @@
 
     def _record_former_version(self, worker: Worker, left_at: float) -> None:
         former = self._former_versions.setdefault(worker.upstream, {})
-        former[worker.software_version] = left_at
+        former[worker.software_version] = max(left_at, former.get(worker.software_version, 0.0))
         while len(former) > MAX_FORMER_VERSIONS:
             del former[min(former, key=former.__getitem__)]
 
--- a/egretford/policy/streams.py
+++ b/egretford/policy/streams.py
@@ -98,10 +98,10 @@
 
 
 def find_origins(records: Iterable[AttemptRecord], seconds: float) -> set[StreamOrigin]:
-    """Return the origins of the attempts that began in the last `seconds` and may be resumed.
+    """Return the origins of the attempts that may be resumed.
 
-    The records of one attempt at several keepers are merged. A settled one says that its caller
-    got no event.
+    These began in the last `seconds`; without any, older ones count. The records of one attempt at
+    several keepers are merged. A settled one says that its caller got no event.
     """
     merged: dict[str, AttemptRecord] = {}
     for record in records:
@@ -110,8 +110,9 @@
         merged[request] = AttemptRecord(
             merge_charges(known.charge, record.charge), min(known.age, record.age)
         )
+    begun = [r for r in merged.values() if r.charge.origin is not None and not r.charge.settled]
+    recent = [record for record in begun if record.age <= seconds]
     return {
         StreamOrigin(0, record.charge.origin.upstream, record.charge.origin.version)
-        for record in merged.values()
-        if record.age <= seconds and not record.charge.settled and record.charge.origin is not None
+        for record in recent or begun
     }
--- a/tests/entry/test_origins.py
+++ b/tests/entry/test_origins.py
@@ -8,7 +8,7 @@
 from egretford.entry.workers import WorkerTable
 from egretford.errors import PeerUnreachableError
 from egretford.http.messages import Headers, HttpRequest
-from egretford.keeper.messages import FoundAttempts, ProgramCharges
+from egretford.keeper.messages import FoundAttempts, Kept, ProgramCharges
 from egretford.metrics import Metrics
 from egretford.policy.ledger import Charge, StreamOrigin
 from tests.entry.test_workers import FakeClock, FakeStoreRecovery
@@ -48,3 +48,55 @@
     request = CallerRequest("q", "h", "/", HTTP, resume_after="2")
     stream = await origins.open(request, ROUTE, "m")
     assert stream.is_fixed and stream.origin == ORIGIN
+
+
+def make_workers(*versions):
+    clock = FakeClock()
+    workers = WorkerTable(
+        clock, FakeStoreRecovery(), WorkerDialer(clock, Metrics(), NullLog()), NullLog()
+    )
+    listed = [
+        Worker(version, "m", "10.0.0.1:80", "z", 1, False, software_version=version)
+        for version in versions
+    ]
+    workers.replace_workers(listed)
+    return workers, listed, clock
+
+
+def refuse(message):
+    raise PeerUnreachableError("keeper")
+
+
+# Guards against a stream without a record at an entry that has just started: others may still know
+# only the version or the upstream that this entry never saw.
+async def test_a_new_entry_begins_no_stream_without_a_record(make_client):
+    client, _ = make_client(a=(refuse, 0.0), b=(refuse, 0.0), c=(refuse, 0.0))
+    workers, (worker,), _ = make_workers("v2")
+    assert workers.measure_known_seconds() == 0.0
+    stream = await StreamOrigins(client, workers, NullLog()).open(
+        CallerRequest("p", "h", "/", HTTP), ROUTE, "m"
+    )
+    stream.begin(worker, is_process_known=True)
+    assert not await stream.fix()
+
+
+# Guards against streams that are refused during a release though all keepers answer again.
+async def test_a_stream_begins_right_after_connections_to_keepers_were_reset(make_client):
+    reset = {"a", "b", "c"}
+
+    def make_reply(name):
+        def reply(message):
+            if name in reset:
+                reset.discard(name)
+                raise PeerUnreachableError(name)
+            return Kept()
+
+        return reply
+
+    client, _ = make_client(**{name: (make_reply(name), 0.0) for name in "abc"})
+    workers, listed, _ = make_workers("v1", "v2")
+    origins = StreamOrigins(client, workers, NullLog())
+    assert not await origins.write(Charge("other", "o", 0, origin=ORIGIN))
+    stream = await origins.open(CallerRequest("p", "h", "/", HTTP), ROUTE, "m")
+    stream.begin(listed[0], is_process_known=True)
+    assert await stream.fix()
--- a/tests/entry/test_workers.py
+++ b/tests/entry/test_workers.py
@@ -302,3 +302,16 @@
         workers.update_worker(evolve(WORKER, software_version=f"v{number}", born=number + 1))
     assert 1 < len(workers.list_recent_versions("models", 1.0)) < 10
     assert workers.list_recent_versions("models", 0.0) >= {"v99"}
+
+
+# Guards against a version that is forgotten too early, as workers are removed in any order.
+def test_the_last_worker_of_a_version_decides_how_long_it_is_known():
+    workers, clock = make_table()
+    first = evolve(WORKER, software_version="v1", born=1)
+    workers.update_worker(first)
+    workers.update_worker(evolve(first, id="m-2", address="10.0.0.2:80"))
+    workers.schedule_removal("m-2")
+    clock.time += 5.0
+    workers.schedule_removal("m-1")
+    clock.time += 2.0
+    assert workers.list_recent_versions("models", 2.0) == {"v1"}
--- a/tests/platform/test_empty_streams.py
+++ b/tests/platform/test_empty_streams.py
@@ -76,9 +76,7 @@
     assert (answer.status, answer.body, answer.is_complete) == (200, b"", True)
 
 
-async def test_an_empty_stream_is_replaced_by_another_worker(deployment):
-    deployment.worker("m-1").script = respond_empty(b"", chunked=True)
-    deployment.worker("m-2").script = respond_empty(b"", chunked=True)
+async def test_an_empty_stream_is_sent_again(deployment):
     served = []
 
     async def serve_second(worker, arrival, responder):
--- a/tests/platform/test_resumptions.py
+++ b/tests/platform/test_resumptions.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from egretford.entry import gateway, origins
 from tests.platform.deployment import make_configuration, run_deployment
 from tests.platform.standins import WorkerStandin
 from tests.platform.test_software_versions import (
@@ -200,3 +201,59 @@
         await deployment.stop_keeper(name)
     answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
     assert answer.is_complete
+
+
+# Guards against events of two upstreams: an entry of the last build, which splits streams by the
+# id of the attempt and records them under it, began the stream.
+async def test_a_stream_begun_by_an_entry_of_the_last_build_has_one_upstream(
+    deployment, monkeypatch
+):
+    await add_drafts(deployment, 50)
+    await asyncio.sleep(7.5)
+    break_streams(deployment)
+    began_at = {}
+    with monkeypatch.context() as last_build:
+        last_build.setattr(gateway, "get_split_key", lambda request, route: request.id)
+        last_build.setattr(origins, "get_split_key", lambda request, route: request.id)
+        last_build.setattr(origins, "make_stream_key", lambda request: request.id)
+        for number in range(8):
+            body = f"content {number}".encode()
+            worker = await begin_stream(deployment, deployment.callers[0], f"p{number}", body)
+            began_at[number] = worker.upstream
+    joined = []
+    for number, upstream in began_at.items():
+        body = f"content {number}".encode()
+        answer = await deployment.callers[1].ask(
+            "/plan/1", body=body, request_id=f"q{number}", Last_Event_Id="2"
+        )
+        if answer.status == 200:
+            went_on_at = find_worker(deployment, f"q{number}").upstream
+            if went_on_at != upstream:
+                joined.append((number, upstream, went_on_at))
+    assert not joined
+
+
+# Guards against a stream that goes on at an upstream that the weights in force exclude.
+async def test_a_stream_is_not_resumed_at_an_upstream_without_weight(deployment):
+    await add_drafts(deployment, 99)
+    break_streams(deployment)
+    number = 0
+    while (await begin_stream(deployment, deployment.callers[0], f"p{number}")).id != "d-1":
+        number += 1
+    await add_drafts(deployment, 0, version=5)
+    answer = await resume(deployment.callers[1], "q", f"p{number}")
+    assert answer.status == 503 and not deployment.arrivals("q")
+
+
+# Guards against events of two versions: a caller is refused for longer than it was expected to ask.
+async def test_a_stream_is_not_resumed_at_another_version_once_its_record_is_old(deployment):
+    break_streams(deployment)
+    assert (await begin_stream(deployment, deployment.callers[0], "p1")).version == "v1"
+    for worker in deployment.workers[:2]:
+        await set_version(deployment, worker, "v2")
+    statuses = []
+    for number in range(12):
+        answer = await resume(deployment.callers[1], f"q{number}", "p1")
+        statuses.append(answer.status)
+        await asyncio.sleep(0.7)
+    assert set(statuses) == {503}
--- a/tests/policy/test_streams.py
+++ b/tests/policy/test_streams.py
@@ -87,7 +87,10 @@
         ([make_record("a", "v1", 1.0)], {"v1"}),
         # Too old at one keeper only: another one has received it again.
         ([make_record("a", "v1", 9.0), make_record("a", "v1", 1.0)], {"v1"}),
-        ([make_record("a", "v1", 9.0)], set()),
+        # Without a recent one, an older one says where its stream began, if it is resumed late.
+        ([make_record("a", "v1", 9.0)], {"v1"}),
+        ([make_record("a", "v1", 9.0), make_record("b", "v2", 9.0)], {"v1", "v2"}),
+        ([make_record("a", "v1", 9.0), make_record("b", "v2", 1.0, settled=True)], {"v1"}),
         ([make_record("a", "v1", 9.0), make_record("b", "v2", 1.0)], {"v2"}),
         ([make_record("a", "v1", 1.0), make_record("b", "v2", 1.0)], {"v1", "v2"}),
         # The stream was sent on before its first event, which one keeper has not learned.
