--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -373,18 +373,14 @@
             if source.member.state is not MemberState.JOINING
             and source.copied_generation < view.generation
         }
-        if self._service.update_completion(uncopied, self.list_complete()):
-            self._tasks.spawn(self._store_completion())
-
-    def list_complete(self) -> frozenset[str]:
-        """Return the active members that were copied after they were complete."""
-        generation = self._service.view.generation
-        return frozenset(
+        complete = frozenset(
             disk
             for disk, source in self.sources.items()
             if source.member.state is MemberState.ACTIVE
-            and source.copied_generation == source.completed_generation == generation
+            and source.copied_generation == source.completed_generation == view.generation
         )
+        if self._service.update_completion(uncopied, complete):
+            self._tasks.spawn(self._store_completion())
 
     async def _store_completion(self) -> None:
         try:
--- a/egretford/keeper/membership.py
+++ b/egretford/keeper/membership.py
@@ -21,7 +21,6 @@
     drop_member,
     forget_dropped,
     mark_leaving,
-    may_activate,
     remove_member,
 )
 
@@ -208,13 +207,15 @@
         if self._target_view is None:
             self._target_view = view.number
         missing = self._list_uncopied()
-        if not view.active or not all(self._is_unavailable(source) for source in missing):
-            return
-        unreachable = frozenset(source.member.disk for source in missing)
-        if not may_activate(view, self._member.disk, unreachable, self._tolerated_losses):
+        is_replacing_disk = any(
+            m.name == self._member.name and m.disk != self._member.disk for m in view.members
+        )
+        lost_count = len(missing) + (1 if is_replacing_disk else 0)
+        if not all(self._is_unavailable(source) for source in missing):
             return
-        if not self._service.coverage.knows_lost_charges(view, self._copier.list_complete()):
+        if lost_count > self._tolerated_losses or not view.active:
             return
+        unreachable = frozenset(source.member.disk for source in missing)
         view = await self._update_view(
             lambda view: activate_member(view, self._member.disk, unreachable)
         )
--- a/egretford/policy/groups.py
+++ b/egretford/policy/groups.py
@@ -116,9 +116,6 @@
         self._dropped = frozenset(view.dropped)
         self.has_all_generations = completion.generation == view.generation
         self.later_disks = [] if self.has_all_generations else [list_active(view)]
-        if self.later_disks and self.disk not in completion.disks:
-            # It is no longer known which of these this keeper saw active.
-            self.later_disks.append(view.dropped)
 
     @property
     def is_complete(self) -> bool:
@@ -143,17 +140,6 @@
         active = set(self.completion.disks).union(*self.later_disks)
         return active - members - self.forgotten - {self.disk}
 
-    def knows_lost_charges(self, view: View, complete: frozenset[str]) -> bool:
-        """Whether this keeper may count without taking charges that are gone for copied ones.
-
-        If more disks were dropped than may be lost, charges may be gone. A keeper that has not seen
-        these disks active would complete all the same, so other members must be complete instead.
-        """
-        if len(view.dropped) <= self.groups.tolerated_losses:
-            return True
-        is_known = self.find_removed(view) | {self.disk} >= set(view.dropped)
-        return is_known or self._has_complete_peers(view, complete)
-
     def record_copied(
         self, view: View, uncopied: set[str], complete: frozenset[str] = frozenset()
     ) -> bool:
--- a/egretford/policy/views.py
+++ b/egretford/policy/views.py
@@ -90,18 +90,6 @@
     return _build_next(view, [*others, evolve(member, state=state)], view.dropped)
 
 
-def may_activate(view: View, disk: str, uncopied: frozenset[str], tolerated_losses: int) -> bool:
-    """Whether a joining member may become active without the records of the `uncopied` members.
-
-    Waiting for lost disks brings nothing back, so any number of these may be missing. Coverage
-    then decides for which programs charges may be gone.
-    """
-    joining = view.find(disk)
-    former = {m.disk for m in view.holders if m.name == joining.name} - {disk}
-    missing = uncopied | former
-    return len(missing) <= tolerated_losses or missing <= view.lost_disks
-
-
 def activate_member(view: View, disk: str, unreachable: frozenset[str]) -> View:
     """Return the next view, in which a member that has copied all others is active.
 
