--- a/tests/platform/test_closing_workers.py
+++ b/tests/platform/test_closing_workers.py
@@ -29,9 +29,15 @@
 def add_field(field: tuple[bytes, bytes], every: int, delay: float | None):
     """Return a script that adds a field to each `every`th response, and closes `delay` s later."""
     served = []
+    newest: dict[object, object] = {}
+
+    def close_if_idle(connection, arrival) -> None:
+        if newest[connection] is arrival:
+            connection._transport.close()
 
     async def script(worker, arrival, responder):
         served.append(arrival)
+        newest[responder._connection] = arrival
         if len(served) % every:
             return False
         headers = Headers([*worker.sign(arrival.request_id), field])
@@ -43,8 +49,8 @@
         else:
             responder.send_response(200, headers, b"done " + arrival.request_id.encode())
         if delay is not None:
-            transport = responder._connection._transport
-            asyncio.get_running_loop().call_later(delay, transport.close)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, close_if_idle, responder._connection, arrival)
         return True
 
     return script
