Log the fingerprint of a request that lost an attempt or is quarantined

What operators saw: after a crash, a fingerprint in the log of crashes and no request that has it, so it could not be told why a request that came again was sent on. No logic is changed.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -204,6 +204,7 @@
         self._log.info(
             "an attempt was lost",
             request=job.request.id,
+            fingerprint=job.fingerprint,
             worker=worker,
             events=job.events,
             sent_there=job.history.sends_by_worker.get(worker, 0),
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -162,6 +162,7 @@
             request.http.target, request.http.peer, request.http.body, history
         )
         if self._crashes.blocks(fingerprint):
+            self._log.info("quarantined", request=request.id, fingerprint=fingerprint)
             raise RequestError(ErrorKind.QUARANTINED, "such a request crashed several workers")
         job = ForwardingJob(
             request=request,
@@ -170,6 +171,7 @@
             body=request.http.body,
             responder=responder,
             deadline=started + limit,
+            fingerprint=fingerprint,
             on_crash=lambda tracked: self._crashes.check(
                 Crash(fingerprint, tracked.worker.process_id),
                 lambda: self._forwarder.is_running(tracked),
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -31,6 +31,7 @@
     because no worker may continue the stream.
     `process_start` is when the process that got the request started by the worker list, 0 if the
     list does not say.
+    `fingerprint` is the same when the request comes again.
     `kept_by` names the keepers that hold the turn, once it is kept.
     `sequence` has the numbers of the events that the caller has, also from before a resumption.
     `stream` is set for streams that callers may resume, and `media_type` once a stream has begun
@@ -43,6 +44,7 @@
     body: bytes = field(repr=False)
     responder: Responder
     deadline: float
+    fingerprint: str = ""
     stream: Stream | None = None
     before_end: Callable[[], Awaitable[None]] | None = None
     on_crash: Callable[[TrackedWorker], None] | None = None
