Recognise a request that comes again from other addresses, programs and lengths

Cause: the fingerprint held the IP address of the connection, which is one a zone, the program and the previous turn, and the whole body.

Change: a fingerprint is of host, path and body; its first half, the family, covers the first 256 bytes of the body only. Two members of a family that crashed workers count together, unless a member has run to its end lately, here or at another entry: requests that share a long instruction are served all the time, a deadly one never is.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -106,7 +106,8 @@
         known = self._list_known()
         is_behind = member.disk in self._behind
         reply = await self._ask(member, known if is_behind else ReportCrashes((), ()))
-        self._table.merge_reports(reply.reports, reply.clearances, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._unsent |= self._table.merge_reports(reply.reports, reply.clearances, now)
         if _lacks(reply, known):
             self._behind.add(member.disk)
         else:
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -159,7 +159,7 @@
             )
         history = f"{request.program} {request.previous_turn}" if route.keeps_turns else ""
         fingerprint = make_fingerprint(
-            request.http.target, request.http.peer, request.http.body, history
+            request.http.target, request.host, request.http.body, history
         )
         if self._crashes.blocks(fingerprint):
             self._log.info("quarantined", request=request.id, fingerprint=fingerprint)
--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Iterable
+from typing import Any
 
 import xxhash
 from attrs import Factory, define, frozen
@@ -13,8 +14,15 @@
 CRASHES_TO_BLOCK = 3
 # A blocked request may be tried again this long after its last crash, in seconds.
 CRASH_RETENTION_SECONDS = 120.0
-# Fingerprints remembered; the oldest are dropped.
+# Families remembered, and fingerprints of each; the oldest are dropped.
+MAX_FAMILIES = 2_000
+MAX_FAMILY_MEMBERS = 8
+# Fingerprints remembered that have run to their end; the oldest are dropped.
 MAX_FINGERPRINTS = 10_000
+# Bytes at the beginning of a body that requests of one family have in common.
+FAMILY_BODY_BYTES = 256
+# Length of a family, and of what tells its members apart.
+FAMILY_DIGITS = 16
 
 
 @frozen
@@ -28,18 +36,24 @@
     worker: str
 
 
-def make_fingerprint(target: bytes, caller: str, body: bytes, history: str = "") -> str:
-    """Return a fingerprint that is the same when a caller repeats a request.
+def make_fingerprint(target: bytes, host: str, body: bytes, history: str = "") -> str:
+    """Return a fingerprint that is the same when a request is repeated, from any address.
 
-    `history` names what a worker gets before the body, so that turns of different programs differ
-    whose new input is the same.
+    Its first part, the family, is the same for requests to one path whose bodies begin alike: a
+    prompt that comes again may have grown, or be cut. `history` names what a worker gets before
+    the body, so that turns of different programs differ whose new input is the same.
     """
-    digest = xxhash.xxh3_128(target)
-    digest.update(caller.encode())
-    digest.update(body)
+    family = xxhash.xxh3_64(target)
+    family.update(b"\0" + host.encode() + b"\0" + body[:FAMILY_BODY_BYTES])
+    rest = xxhash.xxh3_64(body)
     if history:
-        digest.update(b"\0" + history.encode())
-    return digest.hexdigest()
+        rest.update(b"\0" + history.encode())
+    return family.hexdigest() + rest.hexdigest()
+
+
+def get_family(fingerprint: str) -> str:
+    """Return the part of a fingerprint that requests have in common whose bodies begin alike."""
+    return fingerprint[:FAMILY_DIGITS]
 
 
 @frozen
@@ -60,14 +74,17 @@
 
 @define
 class CrashTable:
-    """Crashed workers by fingerprint, with the time of the crash in monotonic seconds.
+    """Crashed workers by family and fingerprint, with the time of the crash in monotonic seconds.
 
     Reports may be merged in any order and any number of times: the earliest time of a crash counts,
-    and the latest success. A success ends what crashes before it say of a request.
+    and the latest success. A success ends what crashes before it say of a request. A family counts
+    as one request unless one of its members has run to its end lately.
     """
 
-    _crashed_at: dict[str, dict[str, float]] = Factory(dict)
+    _crashed_at: dict[str, dict[str, dict[str, float]]] = Factory(dict)
     _cleared_at: dict[str, float] = Factory(dict)
+    # By family, the last success of a member and its fingerprint.
+    _last_success: dict[str, tuple[float, str]] = Factory(dict)
 
     def add(self, crash: Crash, now: float, age: float = 0.0) -> bool:
         """Record a crash; returns False if it is known, too old or was followed by a success."""
@@ -75,11 +92,12 @@
         cleared_at = self._cleared_at.get(crash.fingerprint)
         if age > CRASH_RETENTION_SECONDS or (cleared_at is not None and at <= cleared_at):
             return False
-        workers = self._crashed_at.setdefault(crash.fingerprint, {})
+        members = self._crashed_at.setdefault(get_family(crash.fingerprint), {})
+        workers = members.setdefault(crash.fingerprint, {})
         is_known = crash.worker in workers
         workers[crash.worker] = min(at, workers.get(crash.worker, at))
-        while len(self._crashed_at) > MAX_FINGERPRINTS:
-            del self._crashed_at[next(iter(self._crashed_at))]
+        _drop_oldest(members, MAX_FAMILY_MEMBERS)
+        _drop_oldest(self._crashed_at, MAX_FAMILIES)
         return not is_known
 
     def merge(self, crashes: Iterable[Crash], now: float) -> None:
@@ -89,42 +107,81 @@
 
     def merge_reports(
         self, reports: Iterable[CrashReport], clearances: Iterable[Clearance], now: float
-    ) -> None:
-        """Record crashes and successes that others have seen."""
+    ) -> set[str]:
+        """Record crashes and successes that others have seen.
+
+        Returns the fingerprints whose success is known here and not to them.
+        """
         for clearance in clearances:
             self._clear(clearance.fingerprint, now - clearance.age)
+        unknown = set()
         for report in reports:
             self.add(report.crash, now, report.age)
+            at, fingerprint = self._last_success.get(
+                get_family(report.crash.fingerprint), (-math.inf, "")
+            )
+            if now - at <= CRASH_RETENTION_SECONDS and fingerprint not in self._cleared_at:
+                self._clear(fingerprint, at)
+                unknown.add(fingerprint)
+        return unknown
 
     def record_success(self, fingerprint: str, now: float) -> bool:
         """Forget the crashes of a request that a worker has run to its end.
 
-        Returns whether there were any.
+        Returns whether others must know, as they may have crashes of it or its family.
         """
-        if fingerprint not in self._crashed_at:
+        family = get_family(fingerprint)
+        members = self._crashed_at.get(family, {})
+        has_run = self._has_run(family, now)
+        self._record_last_success(fingerprint, now)
+        if fingerprint not in members and (has_run or not members):
             return False
         self._clear(fingerprint, now)
         return True
 
+    def _record_last_success(self, fingerprint: str, at: float) -> None:
+        family = get_family(fingerprint)
+        latest = max((at, fingerprint), self._last_success.pop(family, (-math.inf, "")))
+        self._last_success[family] = latest
+        _drop_oldest(self._last_success, MAX_FINGERPRINTS)
+
+    def _has_run(self, family: str, now: float) -> bool:
+        at, _ = self._last_success.get(family, (-math.inf, ""))
+        return now - at <= CRASH_RETENTION_SECONDS
+
     def _clear(self, fingerprint: str, at: float) -> None:
+        self._record_last_success(fingerprint, at)
         at = max(at, self._cleared_at.get(fingerprint, -math.inf))
         self._cleared_at[fingerprint] = at
-        workers = self._crashed_at.pop(fingerprint, {})
+        _drop_oldest(self._cleared_at, MAX_FINGERPRINTS)
+        family = get_family(fingerprint)
+        members = self._crashed_at.get(family, {})
+        workers = members.pop(fingerprint, {})
         later = {worker: crashed_at for worker, crashed_at in workers.items() if crashed_at > at}
         if later:
-            self._crashed_at[fingerprint] = later
-        while len(self._cleared_at) > MAX_FINGERPRINTS:
-            del self._cleared_at[next(iter(self._cleared_at))]
+            members[fingerprint] = later
+        elif not members:
+            self._crashed_at.pop(family, None)
 
     def blocks(self, fingerprint: str, now: float) -> bool:
         """Whether requests with this fingerprint must not be sent to workers."""
-        workers = self._crashed_at.get(fingerprint)
-        if workers is None:
-            return False
-        if now - max(workers.values()) > CRASH_RETENTION_SECONDS:
-            del self._crashed_at[fingerprint]
+        family = get_family(fingerprint)
+        members = self._list_members(family, now)
+        if len(members.get(fingerprint, ())) >= CRASHES_TO_BLOCK:
+            return True
+        if len(members) < 2 or self._has_run(family, now):
             return False
-        return len(workers) >= CRASHES_TO_BLOCK
+        return len(set().union(*members.values())) >= CRASHES_TO_BLOCK
+
+    def _list_members(self, family: str, now: float) -> dict[str, dict[str, float]]:
+        """Return the members of a family that crashed a worker lately, and drop the others."""
+        members = self._crashed_at.get(family, {})
+        for fingerprint, workers in list(members.items()):
+            if now - max(workers.values()) > CRASH_RETENTION_SECONDS:
+                del members[fingerprint]
+        if not members:
+            self._crashed_at.pop(family, None)
+        return members
 
     def list_recent(self, now: float) -> tuple[Crash, ...]:
         """Return the crashes of the last `CRASH_RETENTION_SECONDS`."""
@@ -134,7 +191,8 @@
         """Return the crashes of the last `CRASH_RETENTION_SECONDS` with their ages."""
         return tuple(
             CrashReport(Crash(fingerprint, worker), now - at)
-            for fingerprint, workers in self._crashed_at.items()
+            for members in self._crashed_at.values()
+            for fingerprint, workers in members.items()
             for worker, at in workers.items()
             if now - at <= CRASH_RETENTION_SECONDS
         )
@@ -146,3 +204,8 @@
             for fingerprint, at in self._cleared_at.items()
             if now - at <= CRASH_RETENTION_SECONDS
         )
+
+
+def _drop_oldest(items: dict[str, Any], size: int) -> None:
+    while len(items) > size:
+        del items[next(iter(items))]
--- /dev/null
+++ b/tests/platform/test_crashing_requests.py
@@ -0,0 +1,151 @@
+"""Requests that crash each worker that runs them are stopped, whoever sends them and however."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from attrs import Factory, define
+
+from egretford.http.client import ClientConnection
+from tests.platform.deployment import run_deployment
+from tests.platform.standins import Arrival, Caller, WorkerStandin
+
+# Time after a crash within which all entries know of it, in seconds.
+KNOWN_SECONDS = 2.5
+DEADLY = b"deadly " * 100
+PATHS = {"ping": "/ping/9", "book": "/book/9", "plan": "/plan/9", "chat": "/chat/9"}
+KINDS = pytest.mark.parametrize("kind", PATHS)
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    async with run_deployment(tmp_path) as running:
+        yield running
+
+
+@define
+class DeadlyRequests:
+    """Crashes each worker that gets a body which begins as `DEADLY`; then another process is there.
+
+    `how` is "reset", or "silent" for a machine that ends without a reset. With `is_listed`, the
+    worker list names the new process at once.
+    """
+
+    deployment: object
+    how: str = "reset"
+    is_listed: bool = True
+    runs: list[str] = Factory(list)
+    asked: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        for worker in self.deployment.workers:
+            worker.script = self._run
+
+    async def _run(self, worker: WorkerStandin, arrival: Arrival, responder) -> bool:
+        if not arrival.body.endswith(DEADLY[:350]) and not arrival.body.endswith(DEADLY):
+            return False
+        self.runs.append(arrival.request_id)
+        worker.born += 1
+        if self.is_listed:
+            self.deployment.store.put("servers", worker.id, worker.describe())
+        if self.how == "silent":
+            await asyncio.sleep(30)
+        responder.abort()
+        return True
+
+    async def ask(self, kind: str, caller: Caller, body: bytes = DEADLY, **more):
+        self.asked += 1
+        fields = {"Program_Id": "p", "Session_Id": "p"} if kind in ("plan", "chat") else {}
+        request_id = f"{kind}-{self.asked}"
+        return await caller.ask(PATHS[kind], body=body, request_id=request_id, **(fields | more))
+
+    async def crash_three(self, kind: str, **more) -> None:
+        """Send the request to the entries in turn until three processes have ended."""
+        callers = self.deployment.callers
+        while len(self.runs) < 3:
+            await self.ask(kind, callers[self.asked % len(callers)], **more)
+            await asyncio.sleep(0.5)
+
+    async def require_block(self, kind: str, **more) -> None:
+        """Check that the request reaches no worker any more, over any entry."""
+        await asyncio.sleep(KNOWN_SECONDS)
+        runs = len(self.runs)
+        for caller in self.deployment.callers:
+            answer = await self.ask(kind, caller, **more)
+            assert answer.status == 503
+        assert len(self.runs) == runs
+
+
+async def open_from(address: str, ip: str) -> ClientConnection:
+    """Return a connection to `address` that comes from `ip`."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(
+        lambda: ClientConnection(address), host, int(port), local_addr=(ip, 0)
+    )
+    return connection
+
+
+# Guards against a request that crashes three workers for each zone that it is sent from.
+@KINDS
+async def test_a_request_is_recognised_from_any_address(deployment, kind):
+    deadly = DeadlyRequests(deployment)
+    caller = deployment.callers[0]
+    while len(deadly.runs) < 3:
+        connection = await open_from(caller.address, f"127.0.0.{deadly.asked + 2}")
+        await deadly.ask(kind, caller, connection=connection)
+        connection.close()
+        await asyncio.sleep(0.5)
+    await deadly.require_block(kind)
+
+
+# Guards against a turn that crashes three workers for each program and each form that it has: with
+# all of its prompt, or with the new part after a turn that is kept.
+async def test_a_turn_is_recognised_in_other_programs(deployment):
+    deadly = DeadlyRequests(deployment)
+    first, second = deployment.callers
+    await first.ask("/chat/1", body=b"x", request_id="t1", Program_Id="p1", Session_Id="p1")
+    await deadly.ask("chat", first, Program_Id="p2")
+    await deadly.ask("chat", second, Program_Id="p3")
+    await asyncio.sleep(KNOWN_SECONDS)
+    await deadly.ask("chat", first, DEADLY[:350], Program_Id="p1", Previous_Turn="t1")
+    assert len(deadly.runs) == 3
+    await deadly.require_block("chat", body=DEADLY[:350], Program_Id="p1", Previous_Turn="t1")
+    await deadly.require_block("chat", Program_Id="p4")
+
+
+# Guards against a prompt that crashes three workers at each length that it comes with.
+async def test_a_prompt_that_grows_is_recognised(deployment):
+    deadly = DeadlyRequests(deployment)
+    first, second = deployment.callers
+    for number, caller in enumerate((first, second, first, second)):
+        if len(deadly.runs) < 3:
+            await deadly.ask("plan", caller, DEADLY * (number + 1))
+            await asyncio.sleep(KNOWN_SECONDS)
+    await deadly.require_block("plan", body=DEADLY * 9)
+
+
+# Guards against requests that are refused as others to the same path crashed workers.
+@KINDS
+async def test_other_requests_to_its_path_are_served(deployment, kind):
+    deadly = DeadlyRequests(deployment)
+    await deadly.crash_three(kind)
+    await deadly.require_block(kind)
+    for caller in deployment.callers:
+        assert (await deadly.ask(kind, caller, b"another")).status == 200
+        assert (await deadly.ask(kind, caller, DEADLY[:300])).status == 200
+
+
+# Guards against requests that are refused as they begin like those that crashed workers, though
+# such requests are served all the time.
+async def test_requests_that_begin_as_many_do_are_served(deployment):
+    deadly = DeadlyRequests(deployment)
+    first, second = deployment.callers
+    assert (await deadly.ask("plan", first, DEADLY + b"sound")).status == 200
+    await deadly.ask("plan", first)
+    await deadly.ask("plan", second, DEADLY * 2)
+    await asyncio.sleep(KNOWN_SECONDS)
+    assert len(deadly.runs) >= 3
+    for caller in (first, second):
+        assert (await deadly.ask("plan", caller, DEADLY + b"other")).status == 200
--- a/tests/policy/test_crashes.py
+++ b/tests/policy/test_crashes.py
@@ -104,3 +104,21 @@
 def test_turns_of_other_programs_or_after_other_turns_have_other_fingerprints():
     turns = {make_fingerprint(b"/a", "c", b"go on", h) for h in ("p t1", "p t2", "q t1", "")}
     assert len(turns) == 4
+
+
+# Guards against an entry that blocks all requests of a family, one of which another entry has
+# served before.
+def test_a_success_before_the_crashes_speaks_for_a_family():
+    table, other = CrashTable(), CrashTable()
+    bodies = [b"prompt " * 100 + tail for tail in (b"a", b"b", b"c", b"d")]
+    deadly, *more, sound = [make_fingerprint(b"/a", "h", body) for body in bodies]
+    other.record_success(sound, 1.0)
+    for worker, fingerprint in (("w1", deadly), ("w2", deadly), ("w3", more[0])):
+        table.add(Crash(fingerprint, worker), 2.0)
+    assert table.blocks(more[1], 2.0)
+    assert other.merge_reports(table.list_reports(3.0), (), 3.0) == {sound}
+    assert not other.blocks(more[1], 3.0)
+    table.merge_reports((), other.list_clearances(4.0), 4.0)
+    assert not table.blocks(more[1], 4.0)
+    table.add(Crash(deadly, "w4"), 5.0)
+    assert table.blocks(deadly, 5.0) and not table.blocks(more[0], 5.0)
