Only a success clears the crashes of a request

Cause: each relayed response counted as a run to the end and cleared what all entries knew. An error response says nothing of the request: a worker gives it before, or instead of, running the request.

Now only a 2xx that was relayed whole clears.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -241,6 +241,7 @@
         finally:
             tracked.state.granted -= 1
         tracked.record_success(self._clock.monotonic() - started)
+        job.succeeded = reply.succeeded
         if is_stream:
             # The worker was released before, as waiting for `before_end` is no load on it.
             await self._relay.finish_stream(job, reply, trailing)
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -181,7 +181,8 @@
             await self._forward(job)
         except TimeoutError:
             raise job.refuse(ErrorKind.TIMEOUT, "this instance stops") from None
-        self._crashes.record_success(fingerprint)
+        if job.succeeded:
+            self._crashes.record_success(fingerprint)
         seconds = self._clock.monotonic() - started
         self._metrics.record_seconds("request", request.host, route.name, seconds)
         self._metrics.count("served")
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -33,6 +33,7 @@
     list does not say.
     `fingerprint` is the same when the request comes again.
     `kept_by` names the keepers that hold the turn, once it is kept.
+    `succeeded` is set once a success of a worker was relayed whole.
     `sequence` has the numbers of the events that the caller has, also from before a resumption.
     `stream` is set for streams that callers may resume, and `media_type` once a stream has begun
     whose worker named one.
@@ -60,6 +61,7 @@
     events: int = 0
     sequence: EventSequence = field(init=False)
     media_type: str | None = None
+    succeeded: bool = False
     output: bytearray = Factory(bytearray)
     worker: str = ""
     process_start: int = 0
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -29,12 +29,13 @@
     """Crashes each worker that gets a body which begins as `DEADLY`; then another process is there.
 
     `how` is "reset", or "silent" for a machine that ends without a reset. With `is_listed`, the
-    worker list names the new process at once.
+    worker list names the new process at once. With `failure`, the workers answer with that status.
     """
 
     deployment: object
     how: str = "reset"
     is_listed: bool = True
+    failure: int | None = None
     runs: list[str] = Factory(list)
     asked: int = 0
 
@@ -46,6 +47,9 @@
         if not arrival.body.endswith(DEADLY[:350]) and not arrival.body.endswith(DEADLY):
             return False
         self.runs.append(arrival.request_id)
+        if self.failure is not None:
+            responder.send_response(self.failure, worker.sign(arrival.request_id), b"failed")
+            return True
         worker.born += 1
         if self.is_listed:
             self.deployment.store.put("servers", worker.id, worker.describe())
@@ -126,6 +130,19 @@
     await deadly.require_block("plan", body=DEADLY * 9)
 
 
+# Guards against crashes that are forgotten as a worker answers with a failure between them.
+@pytest.mark.parametrize("status", [400, 500, 504])
+@pytest.mark.parametrize("kind", ["book", "chat"])
+async def test_a_failure_between_crashes_clears_none(deployment, kind, status):
+    deadly = DeadlyRequests(deployment)
+    for number, caller in enumerate(deployment.callers * 2):
+        deadly.failure = status if number == 2 else None
+        await deadly.ask(kind, caller)
+        await asyncio.sleep(0.7)
+    assert len(deadly.runs) == 4
+    await deadly.require_block(kind)
+
+
 # Guards against requests that are refused as others to the same path crashed workers.
 @KINDS
 async def test_other_requests_to_its_path_are_served(deployment, kind):
