Count the crash of each process, also while the worker list names the one before

Cause: a process was known by its entry in the list. The one that followed it had the same id and start there, so its crash counted as known.

Resumable streams are held: they reach no process whose start differs from the list.

Change: what a process says of its start counts from then on. A connection that was opened after a process had crashed leads to another one, which gets a name of its own; before that the crashes that other entries know are fetched. A process is asked once for all requests that it lost, and what it lost is shared at once. The format of reports is unchanged.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from attrs import evolve, frozen
+
 from egretford.clock import Clock
 from egretford.controllers.loops import TaskGroup, run_every
 from egretford.entry.keepers import KeeperClient
@@ -22,6 +24,15 @@
 REFUSAL_BACKOFF_SECONDS = 10.0
 
 
+@frozen
+class _Loss:
+    """A request that was lost with a process; times in monotonic seconds."""
+
+    crash: Crash
+    opened_at: float
+    lost_at: float
+
+
 class SharedCrashes:
     """This entry's crash table, merged with those of other entries about once a second."""
 
@@ -37,10 +48,14 @@
         # By disk of a keeper of an earlier version, until when it gets the earlier request.
         self._refused_until: dict[str, float] = {}
         self._has_asked_all = False
+        # By the name of a process, the losses that wait for its check.
+        self._unchecked: dict[str, list[_Loss]] = {}
+        self._is_started = False
         self._tasks = TaskGroup()
 
     async def start(self) -> None:
         """Start to exchange crashes in the background."""
+        self._is_started = True
         self._tasks.spawn(run_every(self._clock, SHARE_INTERVAL_SECONDS, self._share, self._log))
 
     async def close(self) -> None:
@@ -52,17 +67,40 @@
         if self._table.add(crash, self._clock.monotonic()):
             self._unsent.add(crash.fingerprint)
 
-    def check(self, crash: Crash, is_running: Callable[[], Awaitable[bool]]) -> None:
-        """Record a crash unless the worker turns out to be running; does not wait for that."""
-        self._tasks.spawn(self._check(crash, is_running))
+    def check(
+        self, crash: Crash, opened_at: float, is_running: Callable[[], Awaitable[bool]]
+    ) -> None:
+        """Record a crash unless the worker turns out to be running; does not wait for that.
 
-    async def _check(self, crash: Crash, is_running: Callable[[], Awaitable[bool]]) -> None:
+        `opened_at` is when the connection to the worker was opened, in monotonic seconds.
+        """
+        loss = _Loss(crash, opened_at, self._clock.monotonic())
+        losses = self._unchecked.setdefault(crash.worker, [])
+        losses.append(loss)
+        if len(losses) == 1:
+            self._tasks.spawn(self._check(crash.worker, is_running))
+
+    async def _check(self, worker: str, is_running: Callable[[], Awaitable[bool]]) -> None:
+        """Ask once for all requests that a process lost at about the same time."""
         await self._clock.sleep(CHECK_DELAY_SECONDS)
-        if await is_running():
-            self._log.info("a worker lost an answer, but has not crashed", worker=crash.worker)
+        has_crashed = not await is_running()
+        losses = self._unchecked.pop(worker)
+        if not has_crashed:
+            self._log.info("a worker lost an answer, but has not crashed", worker=worker)
             return
-        self._log.info("a worker crashed", worker=crash.worker, fingerprint=crash.fingerprint)
-        self.add(crash)
+        # Others may know of an earlier crash under the same name.
+        await self._share_now()
+        for loss in losses:
+            name = self._table.tell_apart(worker, loss.opened_at)
+            crash, now = evolve(loss.crash, worker=name), self._clock.monotonic()
+            self._log.info("a worker crashed", worker=name, fingerprint=crash.fingerprint)
+            if self._table.add(crash, now, now - loss.lost_at):
+                self._unsent.add(crash.fingerprint)
+        await self._share_now()
+
+    async def _share_now(self) -> None:
+        if self._is_started:
+            await self._share()
 
     def record_success(self, fingerprint: str) -> None:
         """Clear the crashes of a fingerprint after a worker completed such a request."""
--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -64,9 +64,10 @@
             self._list_candidates, self._processes, self._bodies, clock, log
         )
 
-    async def is_running(self, tracked: TrackedWorker) -> bool:
-        """Whether a worker's process proves that it has not ended."""
-        return await self._processes.is_running(tracked)
+    @property
+    def processes(self) -> WorkerProcesses:
+        """Tells the processes of workers apart."""
+        return self._processes
 
     async def run(self, job: ForwardingJob) -> None:
         """Relay a worker's response to the caller.
@@ -198,7 +199,7 @@
         worker = tracked.worker.id
         job.lost_attempts += 1
         if error.crashed and job.on_crash is not None:
-            job.on_crash(tracked)
+            job.on_crash(tracked, job.opened_at)
         if not error.tunnelled:
             self._workers.record_failure(tracked, str(error))
         self._log.info(
@@ -264,6 +265,7 @@
                 raise UpstreamLostError(str(error), crashed=False) from error
             self._workers.record_failure(tracked, str(error))
             raise UpstreamUnreachableError(str(error)) from error
+        job.opened_at = connection.opened_at
         try:
             seconds_left = job.deadline - self._clock.monotonic()
             if seconds_left < MIN_ATTEMPT_SECONDS:
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -15,7 +15,7 @@
 from egretford.entry.models import CallerRequest, Route, RouteKind, RoutingTable
 from egretford.entry.origins import StreamOrigins
 from egretford.entry.turns import TurnAdmission, Turns
-from egretford.entry.workers import WorkerTable
+from egretford.entry.workers import TrackedWorker, WorkerTable
 from egretford.errors import HTTP_STATUS, ErrorKind, RequestError, Verdict
 from egretford.http.messages import Headers, HttpRequest
 from egretford.http.responder import CallerGoneError, Responder
@@ -172,10 +172,7 @@
             responder=responder,
             deadline=started + limit,
             fingerprint=fingerprint,
-            on_crash=lambda tracked: self._crashes.check(
-                Crash(fingerprint, tracked.worker.process_id),
-                lambda: self._forwarder.is_running(tracked),
-            ),
+            on_crash=lambda tracked, opened_at: self._check_crash(fingerprint, tracked, opened_at),
         )
         try:
             await self._forward(job)
@@ -198,6 +195,15 @@
             config=self.configuration_version,
         )
 
+    def _check_crash(self, fingerprint: str, tracked: TrackedWorker, opened_at: float) -> None:
+        processes = self._forwarder.processes
+        start = processes.find_start(tracked, opened_at)
+        self._crashes.check(
+            Crash(fingerprint, tracked.worker.name_process(start)),
+            opened_at,
+            lambda: processes.is_running(tracked, start),
+        )
+
     async def _forward(self, job: ForwardingJob) -> None:
         """Forward a request; raises TimeoutError if `end_requests` ends it, and RequestError."""
         async with asyncio.timeout(None) as limit:
--- a/egretford/entry/models.py
+++ b/egretford/entry/models.py
@@ -100,7 +100,11 @@
     @property
     def process_id(self) -> str:
         """The id with the start time, if known: differs for each process."""
-        return f"{self.id}/{self.born}" if self.born else self.id
+        return self.name_process(self.born)
+
+    def name_process(self, start: int) -> str:
+        """Return the id of this worker's process that started at `start`, 0 if unknown."""
+        return f"{self.id}/{start}" if start else self.id
 
     @property
     def name(self) -> str:
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -23,6 +23,8 @@
 MAX_STATE_BYTES = 65_536
 # Seconds after which a process that has not answered is asked again.
 ASK_AGAIN_SECONDS = 0.3
+# Workers whose start is remembered as they named it; the oldest are dropped.
+MAX_SEEN_STARTS = 1_000
 # Time, in seconds, in which no process takes the place of one that has just ended.
 PROMPT_CONNECT_SECONDS = 0.2
 
@@ -38,6 +40,8 @@
         self._workers = workers
         self._clock = clock
         self._log = log
+        # By worker, the newest start that a process has named, and when it did.
+        self._seen_starts: dict[str, tuple[int, float]] = {}
 
     async def check(
         self, job: ForwardingJob, tracked: TrackedWorker, connection: ClientConnection
@@ -133,16 +137,24 @@
             raise UpstreamRefusedError(message)
         return connection
 
-    async def is_running(self, tracked: TrackedWorker) -> bool:
-        """Whether a worker's process proves that it has not ended, by the time of its start."""
-        if not tracked.worker.born:
+    def find_start(self, tracked: TrackedWorker, opened_at: float) -> int:
+        """Return when the process started to which a connection was opened, 0 if unknown.
+
+        The worker list may lag behind what the process itself has said by then.
+        """
+        born, seen_at = self._seen_starts.get(tracked.worker.id, (0, 0.0))
+        return max(born, tracked.worker.born) if seen_at <= opened_at else tracked.worker.born
+
+    async def is_running(self, tracked: TrackedWorker, start: int) -> bool:
+        """Whether the process that started at `start` proves that it has not ended."""
+        if not start:
             return False
         try:
             connection = await self._workers.open_connection(tracked)
         except ConnectError:
             return False
         try:
-            return await self._read_start_time(tracked, connection) == tracked.worker.born
+            return await self._read_start_time(tracked, connection) == start
         except (BrokenResponseError, TimeoutError):
             return False
         finally:
@@ -237,4 +249,8 @@
         report = decode_process_report(head, body)
         if not report.is_usable or (report.born is None and connection.ended_unframed):
             raise BrokenResponseError("no usable report of its state", received=True)
+        if report.born is not None:
+            self._seen_starts[tracked.worker.id] = (report.born, self._clock.monotonic())
+            if len(self._seen_starts) > MAX_SEEN_STARTS:
+                del self._seen_starts[next(iter(self._seen_starts))]
         return report.born
--- a/egretford/entry/workers.py
+++ b/egretford/entry/workers.py
@@ -303,11 +303,13 @@
             if connection.is_usable(now) and now - connection.idle_since <= max_idle:
                 return connection
             connection.close()
-        return await self._dialer.open(tracked.worker)
+        return await self.open_connection(tracked)
 
     async def open_connection(self, tracked: TrackedWorker) -> ClientConnection:
         """Return a new connection, and leave the idle ones as they are; raises ConnectError."""
-        return await self._dialer.open(tracked.worker)
+        connection = await self._dialer.open(tracked.worker)
+        connection.opened_at = self._clock.monotonic()
+        return connection
 
     def release_connection(self, tracked: TrackedWorker, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it is unusable or the pool is full."""
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -98,6 +98,7 @@
     `unnamed_statuses` has the statuses of its responses so far that named no request.
     `ended_unframed` is set once only the end of the connection marked that of a response.
     `is_process_known` is set once the process at its other end has shown to be the expected one.
+    `opened_at` is when it was opened, in monotonic seconds, set by whoever opened it.
     `tunnel_server` is the address of the instance through which it leads, empty if it is direct.
     """
 
@@ -111,6 +112,7 @@
         self.is_process_known = False
         self.ended_unframed = False
         self.tunnel_server = ""
+        self.opened_at = 0.0
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
         self._buffered_bytes = 0
--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -19,6 +19,8 @@
 MAX_FAMILY_MEMBERS = 8
 # Fingerprints remembered that have run to their end; the oldest are dropped.
 MAX_FINGERPRINTS = 10_000
+# Crashed processes remembered; the oldest are dropped.
+MAX_PROCESSES = 1_000
 # Bytes at the beginning of a body that requests of one family have in common.
 FAMILY_BODY_BYTES = 256
 # Length of a family, and of what tells its members apart.
@@ -85,6 +87,8 @@
     _cleared_at: dict[str, float] = Factory(dict)
     # By family, the last success of a member and its fingerprint.
     _last_success: dict[str, tuple[float, str]] = Factory(dict)
+    # By worker, the earliest time of its crash.
+    _ended_at: dict[str, float] = Factory(dict)
 
     def add(self, crash: Crash, now: float, age: float = 0.0) -> bool:
         """Record a crash; returns False if it is known, too old or was followed by a success."""
@@ -94,12 +98,25 @@
             return False
         members = self._crashed_at.setdefault(get_family(crash.fingerprint), {})
         workers = members.setdefault(crash.fingerprint, {})
+        self._ended_at[crash.worker] = min(at, self._ended_at.get(crash.worker, at))
+        _drop_oldest(self._ended_at, MAX_PROCESSES)
         is_known = crash.worker in workers
         workers[crash.worker] = min(at, workers.get(crash.worker, at))
         _drop_oldest(members, MAX_FAMILY_MEMBERS)
         _drop_oldest(self._crashed_at, MAX_FAMILIES)
         return not is_known
 
+    def tell_apart(self, worker: str, opened_at: float) -> str:
+        """Return the name of the process to which a connection was opened at `opened_at`.
+
+        Without a start of its own it has the name of the one before, which had crashed by then.
+        """
+        number, name = 0, worker
+        while (ended_at := self._ended_at.get(name)) is not None and ended_at < opened_at:
+            number += 1
+            name = f"{worker}+{number}"
+        return name
+
     def merge(self, crashes: Iterable[Crash], now: float) -> None:
         """Record crashes of unknown age that others have seen, as if they had happened now."""
         for crash in crashes:
