Count the silent crash of a worker, in doubt too

Cause: only a connection that broke counted. No response head, body or event in time, and the end of the caller's time, or of its connection, counted for nothing.

Change: an attempt that is given up after a silence of its connection has its worker asked. It has crashed if another process answers, if its port is closed, or if nothing comes for 2 s; sound ones may be silent for one, see test_a_silence_of_a_sound_worker_counts_for_nothing. One question is asked for all requests lost with a process, and none where bytes came.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -30,6 +30,7 @@
     ResponseTooLargeError,
 )
 from egretford.platform.wire import decode_reply, encode_request
+from egretford.policy.crashes import LossKind
 from egretford.policy.placement import Placement
 from egretford.timeouts import ReplyTimeout
 
@@ -41,6 +42,8 @@
 MAX_REFUSALS = 4
 # Least time before the deadline, in seconds, that leaves a worker a chance to answer.
 MIN_ATTEMPT_SECONDS = 0.02
+# Least silence, in seconds, after which a worker may have crashed when its attempt is given up.
+MIN_SILENCE_SECONDS = 0.25
 # Media type of streams, which workers need not name.
 EVENT_STREAM = "text/event-stream"
 # Limit on all responses that are being buffered, in bytes.
@@ -198,8 +201,10 @@
         """Schedule a retry at this or another worker; raises RequestError if none is allowed."""
         worker = tracked.worker.id
         job.lost_attempts += 1
-        if error.crashed and job.on_crash is not None:
-            job.on_crash(tracked, job.opened_at)
+        if job.on_loss is not None and error.crashed:
+            job.on_loss(tracked, LossKind.BROKEN)
+        elif error.silent:
+            self._report_silence(job, tracked)
         if not error.tunnelled:
             self._workers.record_failure(tracked, str(error))
         self._log.info(
@@ -262,10 +267,10 @@
             if tracked.worker.id in job.history.sends_by_worker and not shows_end(error):
                 # It may still be running an earlier attempt, so it counts as one more retry.
                 job.history.record_sent(tracked.worker.id)
-                raise UpstreamLostError(str(error), crashed=False) from error
+                raise UpstreamLostError(str(error), crashed=False, silent=True) from error
             self._workers.record_failure(tracked, str(error))
             raise UpstreamUnreachableError(str(error)) from error
-        job.opened_at = connection.opened_at
+        job.connection = connection
         try:
             seconds_left = job.deadline - self._clock.monotonic()
             if seconds_left < MIN_ATTEMPT_SECONDS:
@@ -309,11 +314,19 @@
             # A worker whose response exceeds a limit is still running.
             crashed = not isinstance(error, ResponseTooLargeError)
             raise UpstreamLostError(str(error), crashed=crashed) from error
-        except BaseException:
+        except BaseException as error:
             connection.close()
+            if isinstance(error, asyncio.CancelledError):
+                self._report_silence(job, tracked)
             raise
         self._workers.release_connection(tracked, connection)
 
+    def _report_silence(self, job: ForwardingJob, tracked: TrackedWorker) -> None:
+        """Report the worker of an attempt that was given up, unless something came from it."""
+        is_silent = job.attempt_sent and job.connection.silent_seconds >= MIN_SILENCE_SECONDS
+        if is_silent and job.on_loss is not None:
+            job.on_loss(tracked, LossKind.SILENT)
+
     def _require_usable(
         self, job: ForwardingJob, tracked: TrackedWorker, connection: ClientConnection
     ) -> None:
@@ -344,7 +357,8 @@
             async with ReplyTimeout(get_read_timeout(job)):
                 reply = await self._match_reply(job, tracked, connection)
         except TimeoutError as error:
-            raise UpstreamLostError("no response head in time", crashed=False) from error
+            message = "no response head in time"
+            raise UpstreamLostError(message, crashed=False, silent=True) from error
         if reply.load is not None:
             tracked.record_load(reply.load, self._clock.monotonic())
         connection.idle_limit = reply.idle_limit
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -23,7 +23,7 @@
 from egretford.metrics import Metrics
 from egretford.numbers import parse_whole_number
 from egretford.platform.wire import decode_request, encode_refusal_fields
-from egretford.policy.crashes import Crash, make_fingerprint
+from egretford.policy.crashes import Crash, LossKind, make_fingerprint
 from egretford.policy.retry_after import RetryAfterAdvice
 from egretford.policy.routes import RouteIndex, choose_upstream
 from egretford.policy.streams import RecentRoutes, get_split_key
@@ -172,8 +172,8 @@
             responder=responder,
             deadline=started + limit,
             fingerprint=fingerprint,
-            on_crash=lambda tracked, opened_at: self._check_crash(fingerprint, tracked, opened_at),
         )
+        job.on_loss = lambda tracked, kind: self._check_crash(job, tracked, kind)
         try:
             await self._forward(job)
         except TimeoutError:
@@ -195,13 +195,13 @@
             config=self.configuration_version,
         )
 
-    def _check_crash(self, fingerprint: str, tracked: TrackedWorker, opened_at: float) -> None:
+    def _check_crash(self, job: ForwardingJob, tracked: TrackedWorker, kind: LossKind) -> None:
         processes = self._forwarder.processes
-        start = processes.find_start(tracked, opened_at)
+        start = processes.find_start(tracked, job.connection.opened_at)
         self._crashes.check(
-            Crash(fingerprint, tracked.worker.name_process(start)),
-            opened_at,
-            lambda: processes.is_running(tracked, start),
+            Crash(job.fingerprint, tracked.worker.name_process(start)),
+            job.connection.opened_at,
+            lambda: processes.is_running(tracked, start, is_patient=kind is LossKind.SILENT),
         )
 
     async def _forward(self, job: ForwardingJob) -> None:
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -10,9 +10,11 @@
 from egretford.entry.origins import Stream
 from egretford.entry.workers import TrackedWorker
 from egretford.errors import ErrorKind, RequestError, Verdict
+from egretford.http.client import ClientConnection
 from egretford.http.responder import Responder
 from egretford.numbers import parse_whole_number
 from egretford.policy.attempts import AttemptHistory
+from egretford.policy.crashes import LossKind
 from egretford.policy.sequences import EventSequence
 
 
@@ -32,8 +34,8 @@
     `process_start` is when the process that got the request started by the worker list, 0 if the
     list does not say.
     `fingerprint` is the same when the request comes again.
-    `opened_at` is when the connection of the last attempt was opened, in monotonic seconds.
-    `on_crash` is called with the worker and that time if its process seems to have crashed.
+    `connection` is that of the last attempt.
+    `on_loss` is called with a worker that may have crashed.
     `kept_by` names the keepers that hold the turn, once it is kept.
     `succeeded` is set once a success of a worker was relayed whole.
     `sequence` has the numbers of the events that the caller has, also from before a resumption.
@@ -50,7 +52,7 @@
     fingerprint: str = ""
     stream: Stream | None = None
     before_end: Callable[[], Awaitable[None]] | None = None
-    on_crash: Callable[[TrackedWorker, float], None] | None = None
+    on_loss: Callable[[TrackedWorker, LossKind], None] | None = None
     offers: int = 0
     refusals: int = 0
     lost_attempts: int = 0
@@ -67,7 +69,7 @@
     output: bytearray = Factory(bytearray)
     worker: str = ""
     process_start: int = 0
-    opened_at: float = 0.0
+    connection: ClientConnection | None = None
     kept_by: list[str] = Factory(list)
     history: AttemptHistory = field(init=False)
 
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -21,6 +21,8 @@
 # round trip.
 STATE_TIMEOUT_SECONDS = 0.3
 MAX_STATE_BYTES = 65_536
+# Time, in seconds, after which a process that gave no sign of life counts as ended.
+SILENCE_SECONDS = 2.0
 # Seconds after which a process that has not answered is asked again.
 ASK_AGAIN_SECONDS = 0.3
 # Workers whose start is remembered as they named it; the oldest are dropped.
@@ -145,20 +147,40 @@
         born, seen_at = self._seen_starts.get(tracked.worker.id, (0, 0.0))
         return max(born, tracked.worker.born) if seen_at <= opened_at else tracked.worker.born
 
-    async def is_running(self, tracked: TrackedWorker, start: int) -> bool:
-        """Whether the process that started at `start` proves that it has not ended."""
-        if not start:
-            return False
-        try:
-            connection = await self._workers.open_connection(tracked)
-        except ConnectError:
-            return False
-        try:
-            return await self._read_start_time(tracked, connection) == start
-        except (BrokenResponseError, TimeoutError):
+    async def is_running(
+        self, tracked: TrackedWorker, start: int, *, is_patient: bool = False
+    ) -> bool:
+        """Whether the process that started at `start` proves that it has not ended.
+
+        A sound process may be silent for a while; with `is_patient` it gets the time for that, and
+        any answer is proof if `start` is 0, as it is unknown.
+        """
+        if not start and not is_patient:
             return False
-        finally:
-            connection.close()
+        give_up_at = self._clock.monotonic() + (SILENCE_SECONDS if is_patient else 0.0)
+        while True:
+            seconds_left = max(STATE_TIMEOUT_SECONDS, give_up_at - self._clock.monotonic())
+            try:
+                connection = await self._workers.open_connection(tracked)
+                try:
+                    born = await self._read_start_time(tracked, connection, seconds_left)
+                finally:
+                    connection.close()
+                return born == start or not start
+            except ConnectError as error:
+                if shows_end(error):
+                    return False
+            except (BrokenResponseError, TimeoutError) as error:
+                if is_patient and isinstance(error, BrokenResponseError) and error.received:
+                    return True
+                self._log.info(
+                    "a worker does not prove to be running",
+                    worker=tracked.worker.id,
+                    error=repr(error),
+                )
+            if self._clock.monotonic() + ASK_AGAIN_SECONDS >= give_up_at:
+                return False
+            await self._clock.sleep(ASK_AGAIN_SECONDS)
 
     async def has_outlived(self, job: ForwardingJob, tracked: TrackedWorker) -> bool:
         """Whether a process goes on after its connection ended, as one that was killed does not.
--- a/egretford/entry/relay.py
+++ b/egretford/entry/relay.py
@@ -88,7 +88,7 @@
             async with ReplyTimeout(get_read_timeout(job)):
                 body = await read_body(connection, MAX_ANSWER_BYTES, budget=self._bodies)
         except TimeoutError as error:
-            raise UpstreamLostError("no whole body in time", crashed=False) from error
+            raise UpstreamLostError("no whole body in time", crashed=False, silent=True) from error
         if connection.ended_unframed:
             can_move = get_read_timeout(job) is not None
             await self._check_end(job, tracked, SAFE_PROOF_TIMEOUT_SECONDS if can_move else None)
@@ -170,7 +170,8 @@
             async with ReplyTimeout(timeout):
                 goes_on = await self._processes.has_outlived(job, tracked)
         except TimeoutError as error:
-            raise UpstreamLostError("no proof of a whole response", crashed=False) from error
+            message = "no proof of a whole response"
+            raise UpstreamLostError(message, crashed=False, silent=True) from error
         if not goes_on:
             message = "the worker's process ended with the response"
             raise UpstreamLostError(message, crashed=not tracked.state.leaving)
@@ -210,7 +211,8 @@
             others = any(t is not tracked for t in self._list_candidates(job))
             if job.history.may_retry(worker, leaving=tracked.state.leaving, others=others):
                 job.history.record_idle_timeout()
-                raise UpstreamLostError("the stream went silent", crashed=False) from error
+                message = "the stream went silent"
+                raise UpstreamLostError(message, crashed=False, silent=True) from error
         job.tolerated_silence_start = silence.started_at
         self._log.info(
             "a silent worker cannot be replaced; waiting", request=job.request.id, worker=worker
--- a/egretford/errors.py
+++ b/egretford/errors.py
@@ -173,11 +173,15 @@
 class UpstreamLostError(UpstreamError):
     """The connection closed or timed out after the request was sent.
 
-    `crashed` is true if the upstream process is assumed to have crashed. `tunnelled` is true if the
-    connection led through another instance, which may have failed instead of the upstream.
+    `crashed` is true if the upstream process is assumed to have crashed, `silent` if nothing came
+    from it in time, so that it may have. `tunnelled` is true if the connection led through another
+    instance, which may have failed instead of the upstream.
     """
 
-    def __init__(self, message: str, *, crashed: bool, tunnelled: bool = False) -> None:
+    def __init__(
+        self, message: str, *, crashed: bool, silent: bool = False, tunnelled: bool = False
+    ) -> None:
         super().__init__(message, verdict=Verdict.MAY_HAVE_RUN)
         self.crashed = crashed
+        self.silent = silent
         self.tunnelled = tunnelled
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -113,6 +113,7 @@
         self.ended_unframed = False
         self.tunnel_server = ""
         self.opened_at = 0.0
+        self._active_at = 0.0
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
         self._buffered_bytes = 0
@@ -190,9 +191,15 @@
         """Whether the connection leads through another instance."""
         return bool(self.tunnel_server)
 
+    @property
+    def silent_seconds(self) -> float:
+        """For how long nothing was sent or received."""
+        return asyncio.get_running_loop().time() - self._active_at
+
     def send(self, data: bytes) -> None:
         """Send a complete, encoded request; its response can be read from then on."""
         self._awaiting_response = True
+        self._active_at = asyncio.get_running_loop().time()
         self._received_any = False
         self._framing.reset()
         self._transport.write(data)
@@ -256,6 +263,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes that arrive outside of an exchange close the connection."""
+        self._active_at = asyncio.get_running_loop().time()
         if self._failure is not None:
             return
         if not self._awaiting_response:
--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import Any
 
 import xxhash
@@ -27,6 +28,17 @@
 FAMILY_DIGITS = 16
 
 
+class LossKind(StrEnum):
+    """How a request was lost at a worker.
+
+    BROKEN: its connection broke, so the worker has crashed unless it proves the contrary. SILENT:
+    nothing came in time, so it has crashed unless it is heard of.
+    """
+
+    BROKEN = "broken"
+    SILENT = "silent"
+
+
 @frozen
 class Crash:
     """The crash of a worker while it ran a request with this fingerprint.
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -151,6 +151,43 @@
     await deadly.require_block("book")
 
 
+# Guards against crashes that leave no reset: a machine that ends, before the time of the caller is
+# over, and is back by then or is not.
+@pytest.mark.parametrize("report_delay", [0.0, 5.0])
+@KINDS
+async def test_a_silent_crash_counts(deployment, kind, report_delay):
+    deadly = DeadlyRequests(deployment, how="silent")
+    callers = deployment.callers
+    async with asyncio.timeout(20):
+        while len(deadly.runs) < 3:
+            for worker in deployment.workers:
+                worker.report_delay = report_delay
+            await deadly.ask(kind, callers[deadly.asked % 2], deadline_ms=600)
+            await asyncio.sleep(KNOWN_SECONDS)
+            for worker in deployment.workers:
+                worker.report_delay = 0.0
+    await deadly.require_block(kind)
+
+
+# Guards against requests that are refused as sound workers were silent for a second.
+@pytest.mark.parametrize("kind", ["ping", "book", "chat"])
+async def test_a_silence_of_a_sound_worker_counts_for_nothing(deployment, kind):
+    for worker in deployment.workers:
+        worker.script = answer_late
+    for number in range(4):
+        await deployment.callers[number % 2].ask(PATHS[kind], body=DEADLY, deadline_ms=500)
+    await asyncio.sleep(KNOWN_SECONDS)
+    for worker in deployment.workers:
+        worker.script = None
+    for caller in deployment.callers:
+        assert (await caller.ask(PATHS[kind], body=DEADLY, request_id="last")).status == 200
+
+
+async def answer_late(worker: WorkerStandin, arrival: Arrival, responder) -> bool:
+    await asyncio.sleep(1.0)
+    return False
+
+
 # Guards against crashes that are forgotten as a worker answers with a failure between them.
 @pytest.mark.parametrize("status", [400, 500, 504])
 @pytest.mark.parametrize("kind", ["book", "chat"])
