Ask for a block before each retry of a request

Cause: the block was asked once, before the first attempt. Evidence: test_a_block_holds_for_a_retry, red on the commit before. A retry is refused as may have run; a started stream is broken off.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -86,6 +86,8 @@
 
     async def _run_attempts(self, job: ForwardingJob) -> None:
         while True:
+            if job.lost_attempts and job.is_blocked():
+                raise job.refuse(ErrorKind.QUARANTINED, "such a request crashed several workers")
             tracked = self._find_retry_worker(job) or self._choose(job)
             if tracked is None:
                 await self._wait_before_retry(job)
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -172,6 +172,7 @@
             responder=responder,
             deadline=started + limit,
             fingerprint=fingerprint,
+            is_blocked=lambda: self._crashes.blocks(fingerprint),
         )
         job.on_loss = lambda tracked, kind: self._check_crash(job, tracked, kind)
         try:
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -35,7 +35,8 @@
     list does not say.
     `fingerprint` is the same when the request comes again.
     `connection` is that of the last attempt.
-    `on_loss` is called with a worker that may have crashed.
+    `on_loss` is called with a worker that may have crashed, and `is_blocked` tells whether enough
+    have for the request to be sent no more.
     `kept_by` names the keepers that hold the turn, once it is kept.
     `succeeded` is set once a success of a worker was relayed whole.
     `sequence` has the numbers of the events that the caller has, also from before a resumption.
@@ -52,6 +53,7 @@
     fingerprint: str = ""
     stream: Stream | None = None
     before_end: Callable[[], Awaitable[None]] | None = None
+    is_blocked: Callable[[], bool] = lambda: False
     on_loss: Callable[[TrackedWorker, LossKind], None] | None = None
     offers: int = 0
     refusals: int = 0
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -8,6 +8,7 @@
 from attrs import Factory, define
 
 from egretford.http.client import ClientConnection
+from egretford.policy.crashes import Crash, make_fingerprint
 from tests.platform.deployment import run_deployment
 from tests.platform.standins import Arrival, Caller, WorkerStandin
 
@@ -36,6 +37,7 @@
     how: str = "reset"
     is_listed: bool = True
     failure: int | None = None
+    delay: float = 0.0
     runs: list[str] = Factory(list)
     asked: int = 0
 
@@ -50,6 +52,7 @@
         if self.failure is not None:
             responder.send_response(self.failure, worker.sign(arrival.request_id), b"failed")
             return True
+        await asyncio.sleep(self.delay)
         worker.born += 1
         if self.is_listed:
             self.deployment.store.put("servers", worker.id, worker.describe())
@@ -188,6 +191,18 @@
     return False
 
 
+# Guards against retries of a request that was blocked while its last attempt ran.
+async def test_a_block_holds_for_a_retry(deployment):
+    deadly = DeadlyRequests(deployment, delay=1.0)
+    asked = asyncio.create_task(deadly.ask("plan", deployment.callers[0]))
+    await asyncio.sleep(0.5)
+    fingerprint = make_fingerprint(b"/plan/9", "farm.example", DEADLY)
+    for worker in ("w1", "w2", "w3"):
+        deployment.entries[0]._crashes.add(Crash(fingerprint, worker))
+    assert (await asked).status == 502
+    assert len(deadly.runs) == 1
+
+
 # Guards against crashes that are forgotten as a worker answers with a failure between them.
 @pytest.mark.parametrize("status", [400, 500, 504])
 @pytest.mark.parametrize("kind", ["book", "chat"])
