Count a crash under a request that went through another entry

Cause: a tunnel that broke counted for nothing, as the entry in between may have ended instead.

Change: the worker is asked as after a silence, over any entry that reaches it. It has crashed if another process answers or if its port is closed, and not if nothing is heard of it.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -205,6 +205,8 @@
         job.lost_attempts += 1
         if job.on_loss is not None and error.crashed:
             job.on_loss(tracked, LossKind.BROKEN)
+        elif job.on_loss is not None and error.tunnelled:
+            job.on_loss(tracked, LossKind.TUNNELLED)
         elif error.silent:
             self._report_silence(job, tracked)
         if not error.tunnelled:
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -202,7 +202,7 @@
         self._crashes.check(
             Crash(job.fingerprint, tracked.worker.name_process(start)),
             job.connection.opened_at,
-            lambda: processes.is_running(tracked, start, is_patient=kind is LossKind.SILENT),
+            lambda: processes.is_running(tracked, start, kind),
         )
 
     async def _forward(self, job: ForwardingJob) -> None:
--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -15,6 +15,7 @@
 from egretford.http.bodies import read_body
 from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError
 from egretford.platform.wire import decode_process_report, encode_state_request
+from egretford.policy.crashes import LossKind
 from egretford.timeouts import ReplyTimeout
 
 # Timeout, in seconds, and size limit, in bytes, of a worker's report of its state, which takes one
@@ -147,14 +148,13 @@
         born, seen_at = self._seen_starts.get(tracked.worker.id, (0, 0.0))
         return max(born, tracked.worker.born) if seen_at <= opened_at else tracked.worker.born
 
-    async def is_running(
-        self, tracked: TrackedWorker, start: int, *, is_patient: bool = False
-    ) -> bool:
-        """Whether the process that started at `start` proves that it has not ended.
+    async def is_running(self, tracked: TrackedWorker, start: int, kind: LossKind) -> bool:
+        """Whether the process that started at `start` goes on after it lost a request.
 
-        A sound process may be silent for a while; with `is_patient` it gets the time for that, and
-        any answer is proof if `start` is 0, as it is unknown.
+        A sound process may be silent for a while. Unless its connection broke it gets the time for
+        that, and any answer is proof if `start` is 0, as it is unknown.
         """
+        is_patient = kind is not LossKind.BROKEN
         if not start and not is_patient:
             return False
         give_up_at = self._clock.monotonic() + (SILENCE_SECONDS if is_patient else 0.0)
@@ -179,7 +179,7 @@
                     error=repr(error),
                 )
             if self._clock.monotonic() + ASK_AGAIN_SECONDS >= give_up_at:
-                return False
+                return kind is LossKind.TUNNELLED
             await self._clock.sleep(ASK_AGAIN_SECONDS)
 
     async def has_outlived(self, job: ForwardingJob, tracked: TrackedWorker) -> bool:
--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -32,11 +32,13 @@
     """How a request was lost at a worker.
 
     BROKEN: its connection broke, so the worker has crashed unless it proves the contrary. SILENT:
-    nothing came in time, so it has crashed unless it is heard of.
+    nothing came in time, so it has crashed unless it is heard of. TUNNELLED: a connection through
+    another instance broke, so it has crashed only if that is certain.
     """
 
     BROKEN = "broken"
     SILENT = "silent"
+    TUNNELLED = "tunnelled"
 
 
 @frozen
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -11,6 +11,7 @@
 from egretford.policy.crashes import Crash, make_fingerprint
 from tests.platform.deployment import run_deployment
 from tests.platform.standins import Arrival, Caller, WorkerStandin
+from tests.platform.test_isolated_entries import Links, list_known_entries
 
 # Time after a crash within which all entries know of it, in seconds.
 KNOWN_SECONDS = 2.5
@@ -203,6 +204,20 @@
     assert len(deadly.runs) == 1
 
 
+# Guards against crashes that count for nothing where the request went through another entry.
+@pytest.mark.parametrize("kind", ["book", "chat"])
+async def test_a_crash_through_another_entry_counts(deployment, kind):
+    links = Links(deployment.entries[0])
+    await deployment.wait_until(lambda: len(list_known_entries(deployment)) == 2)
+    links.cut("refused")
+    deadly = DeadlyRequests(deployment)
+    async with asyncio.timeout(20):
+        while len(deadly.runs) < 3:
+            await deadly.ask(kind, deployment.callers[0])
+            await asyncio.sleep(KNOWN_SECONDS)
+    await deadly.require_block(kind)
+
+
 # Guards against crashes that are forgotten as a worker answers with a failure between them.
 @pytest.mark.parametrize("status", [400, 500, 504])
 @pytest.mark.parametrize("kind", ["book", "chat"])
