A crash that a culprit explains counts for no other request

What callers saw: sound requests refused for two minutes. A crash takes all requests on its worker down; those that are sent again meet the deadly one on the next worker, and are blocked with it.

Cause: each request was judged by its own crashes alone.

Change: suspects are taken by their number of crashed processes, the most first; those that are blocked explain their crashes, and a further one needs three of its own. Equal ones are all blocked. So the request that all crashes have in common is always among them.

--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Iterable
 from enum import StrEnum
+from itertools import groupby
 from typing import Any
 
 import xxhash
@@ -197,12 +198,36 @@
     def blocks(self, fingerprint: str, now: float) -> bool:
         """Whether requests with this fingerprint must not be sent to workers."""
         family = get_family(fingerprint)
+        groups = self._group_members(family, now)
+        key = family if family in groups else fingerprint
+        if len(groups.get(key, ())) < CRASHES_TO_BLOCK:
+            return False
+        return key in self._find_culprits(now)
+
+    def _group_members(self, family: str, now: float) -> dict[str, set[str]]:
+        """Return crashed workers by suspect: the whole family, or each member by itself."""
         members = self._list_members(family, now)
-        if len(members.get(fingerprint, ())) >= CRASHES_TO_BLOCK:
-            return True
         if len(members) < 2 or self._has_run(family, now):
-            return False
-        return len(set().union(*members.values())) >= CRASHES_TO_BLOCK
+            return {fingerprint: set(workers) for fingerprint, workers in members.items()}
+        return {family: set().union(*members.values())}
+
+    def _find_culprits(self, now: float) -> set[str]:
+        """Return the suspects to block.
+
+        A crash takes all requests on its worker down, so a crash under a culprit says nothing of
+        suspects that were there at fewer crashes.
+        """
+        groups: dict[str, set[str]] = {}
+        for family in list(self._crashed_at):
+            groups |= self._group_members(family, now)
+        culprits: set[str] = set()
+        explained: set[str] = set()
+        by_count = sorted(groups, key=lambda suspect: len(groups[suspect]), reverse=True)
+        for _, suspects in groupby(by_count, key=lambda suspect: len(groups[suspect])):
+            found = {s for s in suspects if len(groups[s] - explained) >= CRASHES_TO_BLOCK}
+            culprits |= found
+            explained = explained.union(*(groups[suspect] for suspect in found))
+        return culprits
 
     def _list_members(self, family: str, now: float) -> dict[str, dict[str, float]]:
         """Return the members of a family that crashed a worker lately, and drop the others."""
--- a/tests/policy/test_crashes.py
+++ b/tests/policy/test_crashes.py
@@ -122,3 +122,27 @@
     assert not table.blocks(more[1], 4.0)
     table.add(Crash(deadly, "w4"), 5.0)
     assert table.blocks(deadly, 5.0) and not table.blocks(more[0], 5.0)
+
+
+# Guards against requests that are blocked as they were, with a deadly one, on each worker that this
+# one crashed: a retry meets it again and again where few workers are left.
+def test_a_request_that_was_there_at_fewer_crashes_is_not_blocked():
+    table = CrashTable()
+    deadly, innocent, other, equal = (
+        make_fingerprint(target, "h", b"") for target in (b"/d", b"/i", b"/o", b"/e")
+    )
+    for worker in ("w1", "w2", "w3", "w4"):
+        table.add(Crash(deadly, worker), 0.0)
+    for worker in ("w1", "w2", "w3"):
+        table.add(Crash(innocent, worker), 0.0)
+    # What the deadly one does not explain counts, and so does one that explains as much.
+    for worker in ("w5", "w6", "w7", "w8"):
+        table.add(Crash(other, worker), 0.0)
+    for worker in ("w1", "w2", "w3", "w4"):
+        table.add(Crash(equal, worker), 0.0)
+    blocked = {f for f in (deadly, innocent, other, equal) if table.blocks(f, 1.0)}
+    assert blocked == {deadly, other, equal}
+    # It counts by itself again once the deadly one has turned out to be sound.
+    table.record_success(deadly, 2.0)
+    table.record_success(equal, 2.0)
+    assert table.blocks(innocent, 3.0)
