A refused request holds no memory, and a head is refused at its limit

What callers saw: clients that send heads without end, of 200,000 short fields each, ended an entry, which ran out of memory.

Cause: the limit on a head was checked after all received bytes were parsed, up to 256 KiB, and the fields that were found stayed for as long as the refused connection lingered: 1.3 MB a client.

Change: fields count as they are parsed, and a refusal drops what was read of the request.

--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -189,16 +189,23 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._target += url
+        if self._refusal is None:
+            self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; the parser also reports trailers here, which are ignored."""
-        if not self._head_done:
-            self._headers.add(name, value)
+        if self._head_done or self._refusal is not None:
+            return
+        self._headers.add(name, value)
+        self._field_bytes += len(name) + len(value)
+        if self._field_bytes > self._server.limits.header_bytes:
+            self._refuse(431, f"the header exceeds {self._server.limits.header_bytes} bytes")
 
     def on_headers_complete(self) -> None:
         """Check Host, framing and size; ambiguous lengths would allow request smuggling."""
         self._head_done = True
+        if self._refusal is not None:
+            return
         headers = self._headers
         lengths = headers.list_all(b"content-length")
         if lengths and headers.get(b"transfer-encoding") is not None:
@@ -213,6 +220,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body; refuses a body over the limit."""
+        if self._refusal is not None:
+            return
         self._body_size += len(data)
         if self._body_size > self._server.limits.body_bytes:
             self._refuse(413, f"the body exceeds {self._server.limits.body_bytes} bytes")
@@ -298,7 +307,7 @@
         if self._refusal is not None:
             return
         self._refusal = status, reason
-        self._reading = False
+        self._reset_request()
         self._cancel_timer()
         self._server.log.info("refused a request", status=status, reason=reason, peer=self.peer)
         if self._task is None and not self.closed:
@@ -340,6 +349,7 @@
         self._body = bytearray()
         self._framing = FramingCounter(MAX_FRAMING_BYTES)
         self._body_size = 0
+        self._field_bytes = 0
         self._head_bytes = 0
         self._head_done = False
         self._expects_continue = False
