Bound what the connections of a server hold together

What callers saw: clients that stop just short of the end of large bodies, or send requests ahead, ended an entry, which ran out of memory; clients that held connections open left none for others.

Cause: each request and connection had limits, their sum had none.

Change: a server counts the bytes of requests that it reads, keeps waiting and handles. Beyond the cap it gives up the largest that no handler has, as not run. Beyond its connections it closes the one that has waited longest for its caller.

--- a/egretford/cli/platform_daemons.py
+++ b/egretford/cli/platform_daemons.py
@@ -14,7 +14,7 @@
 from egretford.clock import SystemClock
 from egretford.errors import InputError
 from egretford.exposition import MetricsHandler
-from egretford.http.limits import RequestLimits
+from egretford.http.limits import SMALL_CAPACITY, RequestLimits
 from egretford.http.server import HttpServer
 from egretford.instance import InstanceSettings
 from egretford.logs import make_logger, writer
@@ -51,7 +51,8 @@
     log = make_logger("daemon", instance=settings.name)
     clock, metrics = SystemClock(), Metrics()
     daemon = _build_daemon(role, settings, clock, metrics)
-    metrics_server = HttpServer(MetricsHandler(metrics).handle, RequestLimits(), clock, log)
+    handler = MetricsHandler(metrics)
+    metrics_server = HttpServer(handler.handle, RequestLimits(), clock, log, SMALL_CAPACITY)
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -17,7 +17,7 @@
 from egretford.entry.tunnels import WorkerTunnels
 from egretford.entry.turns import Turns
 from egretford.entry.workers import WorkerTable
-from egretford.http.limits import RequestLimits
+from egretford.http.limits import SMALL_CAPACITY, RequestLimits
 from egretford.http.messages import Headers, HttpRequest
 from egretford.http.responder import Responder
 from egretford.http.server import HttpServer
@@ -106,7 +106,11 @@
             self.gateway.handle, limits, clock, self._make_logger("callers")
         )
         self._readiness_server = HttpServer(
-            self._answer_readiness, limits, clock, self._make_logger("readiness")
+            self._answer_readiness,
+            limits,
+            clock,
+            self._make_logger("readiness"),
+            SMALL_CAPACITY,
         )
         self.gateway.attach_server(self._caller_server)
         feed_log = self._make_logger("feeds")
--- a/egretford/http/limits.py
+++ b/egretford/http/limits.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+import resource
+
+from attrs import Factory, field, frozen
+
+# Connections of a server without a limit on descriptors.
+MAX_CONNECTIONS = 16_384
 
 
 @frozen
@@ -17,3 +22,26 @@
     body_bytes: int = 4_194_304
     header_timeout: float = 3.0
     idle_timeout: float = 15.0
+
+
+def _count_connections() -> int:
+    """Return half of the descriptors of this process; the rest is for workers and peers."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    return min(descriptors // 2, MAX_CONNECTIONS)
+
+
+@frozen
+class ServerCapacity:
+    """Limits on all connections of a server together.
+
+    `held_bytes` bounds the memory of requests that are read, wait or are handled.
+    """
+
+    connections: int = field(default=Factory(_count_connections))
+    held_bytes: int = 50_331_648
+
+
+# For servers that only the platform and operators ask.
+SMALL_CAPACITY = ServerCapacity(connections=64, held_bytes=1_048_576)
--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -12,19 +12,23 @@
 from egretford.clock import Clock
 from egretford.http.client import set_socket_options
 from egretford.http.framing import FramingCounter
-from egretford.http.limits import RequestLimits
+from egretford.http.limits import RequestLimits, ServerCapacity
 from egretford.http.messages import (
     Headers,
     HttpRequest,
     encode_head,
     encode_status_line,
 )
+from egretford.http.occupancy import Occupancy
 from egretford.http.responder import CallerGoneError, Responder
 
 # Connections waiting to be accepted; if the queue is full, connecting takes callers seconds.
 BACKLOG = 1_024
 # Requests that one connection may send without waiting for the responses.
 MAX_PIPELINED = 16
+# Approximate memory of a header field or a request besides its bytes.
+FIELD_BYTES = 128
+REQUEST_BYTES = 2_048
 # Limit on the framing of a request after its head, such as chunk sizes and trailers, in bytes.
 MAX_FRAMING_BYTES = 65_536
 # Seconds for which the bytes of a caller are read and dropped after the end of the last response.
@@ -41,13 +45,20 @@
     While `draining` is set, responses announce that their connection will be closed.
     """
 
-    def __init__(self, handle: Handler, limits: RequestLimits, clock: Clock, log: Any) -> None:
+    def __init__(
+        self,
+        handle: Handler,
+        limits: RequestLimits,
+        clock: Clock,
+        log: Any,
+        capacity: ServerCapacity | None = None,
+    ) -> None:
         self.handle = handle
         self.limits = limits
         self.clock = clock
         self.log = log
         self.draining = False
-        self.connections: set[ServerConnection] = set()
+        self.connections = Occupancy(capacity or ServerCapacity(), log)
         self._server: asyncio.Server | None = None
 
     @property
@@ -107,6 +118,7 @@
         self._refusal: tuple[int, str] | None = None
         self._lingering = False
         self._dropped_bytes = 0
+        self._handled_bytes = 0
         self.closed = False
         self.close_after_response = False
         self.peer = ""
@@ -120,6 +132,18 @@
         """
         return self._server.draining and not self._requests and self._refusal is None
 
+    @property
+    def is_handling(self) -> bool:
+        """Whether a request is being handled, or its response not all sent."""
+        return self._task is not None or self._transport.get_write_buffer_size() > 0
+
+    @property
+    def pending_bytes(self) -> int:
+        """The memory of the requests that are read or wait."""
+        waiting = sum(_measure(len(r.body), r.headers) for r in self._requests)
+        reading = _measure(len(self._body) + self._field_bytes, self._headers)
+        return waiting + (reading if self._reading else 0)
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read, queued or handled."""
@@ -133,6 +157,8 @@
         self.peer = str((transport.get_extra_info("peername") or ("",))[0])
         set_socket_options(transport)
         self._server.connections.add(self)
+        if self.closed or transport.is_closing():
+            return
         self._set_timer(self._server.limits.idle_timeout, self._handle_idle_timeout)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -171,6 +197,7 @@
         ):
             self._refuse(431, f"over {MAX_FRAMING_BYTES} bytes after the head that are no body")
         self._update_reading()
+        self._account()
 
     def pause_writing(self) -> None:
         """Make `drain` wait: the write buffer is full."""
@@ -258,6 +285,8 @@
             return
         if self._requests:
             request = self._requests.popleft()
+            self._handled_bytes = _measure(len(request.body), request.headers)
+            self._server.connections.record_use(self)
             self._update_reading()
             self._task = asyncio.get_running_loop().create_task(self._serve(request))
         elif self._refusal is not None:
@@ -288,6 +317,8 @@
             self._send_internal_error(responder)
         finally:
             self._task = None
+            self._handled_bytes = 0
+            self._account()
         if not responder.finished:
             self.abort()
         elif self.close_after_response:
@@ -313,6 +344,15 @@
         if self._task is None and not self.closed:
             self._send_refusal(status, reason)
 
+    def shed(self) -> None:
+        """Give up the requests that are read or wait, and answer that they have not run."""
+        self._requests.clear()
+        self._refuse(503, "too many requests are being read")
+        self._account()
+
+    def _account(self) -> None:
+        self._server.connections.update(self, self.pending_bytes + self._handled_bytes)
+
     def _send_refusal(self, status: int, reason: str) -> None:
         body = reason.encode() + b"\n"
         fields = [
@@ -440,3 +480,8 @@
         """Close immediately; buffered data is discarded."""
         if not self.closed:
             self._transport.abort()
+
+
+def _measure(size: int, headers: Headers) -> int:
+    """Return the approximate memory of a request with a body of `size` bytes."""
+    return size + FIELD_BYTES * len(headers.fields) + REQUEST_BYTES
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -25,15 +25,21 @@
 MIB = 1_048_576
 POST = b"POST /ping/1 HTTP/1.1\r\nHost: farm.example\r\nRequest-Id: c\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+LARGE_CHUNKS = CHUNKED + (b"10000\r\n" + b"x" * 65_536 + b"\r\n") * 63
 SMALL_CHUNKS = CHUNKED + b"8\r\n12345678\r\n" * 300_000
+SHORT_BODY = POST + b"Content-Length: 4194304\r\n\r\n" + b"x" * (4 * MIB - 304)
 HEAD = b"GET /ping/1 HTTP/1.1\r\nHost: farm.example\r\n"
+AHEAD = POST + b"Content-Length: 60000\r\n\r\n" + b"x" * 60_000
 # What each client of a crowd sends before it stays open, and how many there are.
 CROWDS = {
+    "large chunks": (LARGE_CHUNKS, 60),
     "small chunks": (SMALL_CHUNKS, 60),
+    "short body": (SHORT_BODY, 60),
     "header fields": (HEAD + b"a:b\r\n" * 200_000, 300),
     "a long field": (HEAD + b"a: " + b"x" * MIB, 100),
     "empty lines": (b"\r\n" * 500_000, 100),
     "trailers": (CHUNKED + b"1\r\nx\r\n0\r\n" + b"a:b\r\n" * 200_000, 100),
+    "requests ahead": (HEAD + b"\r\n" + AHEAD * 60, 100),
 }
 
 
@@ -196,6 +202,21 @@
         assert entry.peak_kb < MEMORY_KB
 
 
+# Guards against a process without descriptors for ordinary callers and workers, while clients that
+# say nothing, or stop in a head, hold them all.
+@pytest.mark.parametrize("data", [b"", HEAD], ids=["silent", "in a head"])
+async def test_a_crowd_leaves_descriptors(tmp_path, data):
+    # Clients that are closed by a timeout would let others in.
+    limits = {"header_timeout_ms": 120_000, "idle_timeout_ms": 120_000}
+    async with (
+        run_entry(tmp_path, DESCRIPTORS, **limits) as entry,
+        run_crowd(entry.address, data, 2 * DESCRIPTORS),
+    ):
+        await entry.require_answer()
+        assert entry.process.poll() is None
+        assert entry.open_descriptors < DESCRIPTORS
+
+
 # Guards against a process that runs out of memory for responses that many clients do not read.
 async def test_a_crowd_that_reads_nothing_ends_no_process(tmp_path):
     async def answer_large(worker, arrival, responder) -> bool:
