A response without a valid status is no response

Cause: 000 and 099 passed for informational responses, so their bodies came without a head; statuses over 599 were passed on as failures of the worker. The client of the own interface took 000 for a success.

Change: a status outside 100 to 599 makes the response malformed: 502, or another attempt where the request may be repeated.

--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -328,6 +328,8 @@
     def on_headers_complete(self) -> None:
         """Emit the head, unless the response is informational (1xx)."""
         status = self._parser.get_status_code()
+        if not 100 <= status <= 599:
+            raise ValueError(f"no valid status: {status}")
         if status < 200:
             return
         headers = self._headers
--- a/egretford/upstream/http.py
+++ b/egretford/upstream/http.py
@@ -232,7 +232,7 @@
 async def _check_status(
     worker: Worker, response: aiohttp.ClientResponse, *, already_sent: bool
 ) -> None:
-    if response.status < 300:
+    if 200 <= response.status < 300:
         return
     text = await _read_error(response)
     message = f"{worker.name}: status {response.status}: {text}"
--- a/tests/upstream/test_http.py
+++ b/tests/upstream/test_http.py
@@ -143,3 +143,22 @@
         )
     server.should_exit = True
     await task
+
+
+# Guards against a response without a valid status that is taken for a result.
+@pytest.mark.parametrize("status", [b"000", b"099", b"600"])
+async def test_a_response_with_no_valid_status_is_no_result(client, status):
+    body = b'{"result": 1}'
+    head = b"HTTP/1.1 %s Odd\r\nContent-Length: %d\r\nConnection: close\r\n\r\n"
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head % (status, len(body)) + body)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer, HOST, 0)
+    worker = make_worker(server.sockets[0].getsockname()[1])
+    with pytest.raises(UpstreamLostError):
+        await client.run_tool(worker, ToolDispatch("p", 1, MESSAGES, repeatable=False), seconds=1.0)
+    server.close()
