A request whose block has lapsed is blocked again after one more crash

What callers saw: a deadly request that comes again for longer than two minutes costs three more workers, and all that they run, each time that its block has lapsed. Found by reading.

Cause: with its crashes, all that was known of the request became too old. Evidence: test_a_request_whose_block_lapsed_is_blocked_again_after_one_crash, red on the commit before.

Change: an entry remembers which requests it has seen blocked, until one of them runs to its end.

--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -102,6 +102,8 @@
     _cleared_at: dict[str, float] = Factory(dict)
     # By family, the last success of a member and its fingerprint.
     _last_success: dict[str, tuple[float, str]] = Factory(dict)
+    # Suspects whose crashes were enough to block them and became too old.
+    _offenders: dict[str, None] = Factory(dict)
     # By worker, the earliest time of its crash.
     _ended_at: dict[str, float] = Factory(dict)
 
@@ -187,6 +189,8 @@
         self._cleared_at[fingerprint] = at
         _drop_oldest(self._cleared_at, MAX_FINGERPRINTS)
         family = get_family(fingerprint)
+        for suspect in (family, fingerprint):
+            self._offenders.pop(suspect, None)
         members = self._crashed_at.get(family, {})
         workers = members.pop(fingerprint, {})
         later = {worker: crashed_at for worker, crashed_at in workers.items() if crashed_at > at}
@@ -200,6 +204,8 @@
         family = get_family(fingerprint)
         groups = self._group_members(family, now)
         key = family if family in groups else fingerprint
+        if key in self._offenders and key in groups:
+            return True
         if len(groups.get(key, ())) < CRASHES_TO_BLOCK:
             return False
         return key in self._find_culprits(now)
@@ -232,9 +238,15 @@
     def _list_members(self, family: str, now: float) -> dict[str, dict[str, float]]:
         """Return the members of a family that crashed a worker lately, and drop the others."""
         members = self._crashed_at.get(family, {})
-        for fingerprint, workers in list(members.items()):
-            if now - max(workers.values()) > CRASH_RETENTION_SECONDS:
-                del members[fingerprint]
+        old = [f for f, w in members.items() if now - max(w.values()) > CRASH_RETENTION_SECONDS]
+        for fingerprint in old:
+            if len(members[fingerprint]) >= CRASHES_TO_BLOCK:
+                self._offenders[fingerprint] = None
+        if len(set().union(*(members[fingerprint] for fingerprint in old))) >= CRASHES_TO_BLOCK:
+            self._offenders[family] = None
+        _drop_oldest(self._offenders, MAX_FAMILIES)
+        for fingerprint in old:
+            del members[fingerprint]
         if not members:
             self._crashed_at.pop(family, None)
         return members
--- a/tests/policy/test_crashes.py
+++ b/tests/policy/test_crashes.py
@@ -146,3 +146,18 @@
     table.record_success(deadly, 2.0)
     table.record_success(equal, 2.0)
     assert table.blocks(innocent, 3.0)
+
+
+# Guards against a request that crashes three more workers each time that its block has lapsed.
+def test_a_request_whose_block_lapsed_is_blocked_again_after_one_crash():
+    table = CrashTable()
+    add_crashes(table, "w1", "w2", "w3")
+    later = CRASH_RETENTION_SECONDS + 1
+    assert not table.blocks(FINGERPRINT, later)
+    table.add(Crash(FINGERPRINT, "w4"), later)
+    assert table.blocks(FINGERPRINT, later)
+    assert not table.blocks(make_fingerprint(b"/a", "10.0.0.1", b"other"), later)
+    # It may run again if that turns out to be wrong, and then counts as any other.
+    table.record_success(FINGERPRINT, later + 1)
+    table.add(Crash(FINGERPRINT, "w5"), later + 2)
+    assert not table.blocks(FINGERPRINT, later + 2)
