Ask a worker only about requests that it was sent

What was seen, by reading: an attempt that was given up before its request was sent, while the state of a new connection's process was asked for, counted as a silence of that worker, as nothing had come on the connection yet. Two such and a crash elsewhere would block a request that ran nowhere.

Cause: the flag for it was that of the earlier attempts.

--- a/egretford/entry/forwarding.py
+++ b/egretford/entry/forwarding.py
@@ -274,7 +274,7 @@
                 raise UpstreamLostError(str(error), crashed=False, silent=True) from error
             self._workers.record_failure(tracked, str(error))
             raise UpstreamUnreachableError(str(error)) from error
-        job.connection = connection
+        job.connection, is_sent = connection, False
         try:
             seconds_left = job.deadline - self._clock.monotonic()
             if seconds_left < MIN_ATTEMPT_SECONDS:
@@ -296,7 +296,7 @@
                 encode_request(job.request, tracked.worker, seconds_left, job.body, resume_after)
             )
             connection.forwarded_requests += 1
-            job.attempt_sent = True
+            job.attempt_sent = is_sent = True
             job.offers += 1
             job.history.record_sent(tracked.worker.id)
             job.worker = tracked.worker.id
@@ -320,14 +320,14 @@
             raise UpstreamLostError(str(error), crashed=crashed) from error
         except BaseException as error:
             connection.close()
-            if isinstance(error, asyncio.CancelledError):
+            if is_sent and isinstance(error, asyncio.CancelledError):
                 self._report_silence(job, tracked)
             raise
         self._workers.release_connection(tracked, connection)
 
     def _report_silence(self, job: ForwardingJob, tracked: TrackedWorker) -> None:
         """Report the worker of an attempt that was given up, unless something came from it."""
-        is_silent = job.attempt_sent and job.connection.silent_seconds >= MIN_SILENCE_SECONDS
+        is_silent = job.connection.silent_seconds >= MIN_SILENCE_SECONDS
         if is_silent and job.on_loss is not None:
             job.on_loss(tracked, LossKind.SILENT)
 
