--- a/tests/black_box/worker.py
+++ b/tests/black_box/worker.py
@@ -218,6 +218,8 @@
         request.run = os.urandom(6).hex()
         self.runs[request.run] = request
         self.record(request, "begin")
+        if self.options.deadly and self.options.deadly in request.path:
+            os.kill(os.getpid(), signal.SIGKILL)
         if request.trouble in FAILURES:
             request.how = request.trouble
             if request.trouble == "errors":
@@ -307,6 +309,7 @@
     for name, default in (numbers | {"idle-s": 10}).items():
         parser.add_argument(f"--{name}", type=int, default=default)
     parser.add_argument("--engine", action="store_true")
+    parser.add_argument("--deadly", default="", help="ends the worker that runs a path with it")
     parser.add_argument("--troubles", default="forms=0.25")
     options = parser.parse_args()
     pairs = [pair.split("=") for pair in options.troubles.split(",")]
