A check of a process that fails does not end all further ones of it

Found by reading: an error in the question whether a process goes on would leave its losses waiting, and no later loss of that process would be checked. No test; no such error is known.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -82,10 +82,12 @@
 
     async def _check(self, worker: str, is_running: Callable[[], Awaitable[bool]]) -> None:
         """Ask once for all requests that a process lost at about the same time."""
-        await self._clock.sleep(CHECK_DELAY_SECONDS)
-        has_crashed = not await is_running()
-        losses = self._unchecked.pop(worker)
-        if not has_crashed:
+        try:
+            await self._clock.sleep(CHECK_DELAY_SECONDS)
+            is_alive = await is_running()
+        finally:
+            losses = self._unchecked.pop(worker)
+        if is_alive:
             self._log.info("a worker lost an answer, but has not crashed", worker=worker)
             return
         # Others may know of an earlier crash under the same name.
