A process that lost several connections at once has crashed once

What callers saw: a stream refused as one that had crashed three workers, after one worker broke three connections to it within milliseconds and was then replaced.

Cause: a connection that was opened after a loss was taken for one to another process, though no process takes the place of one that has ended within 0.2 s. A resumable stream is sent again at once to the same worker, so its losses there got three names.

Change: only a connection that was opened over 0.2 s after a crash leads to another process. The constant is the one that the check of unframed responses uses. A unit test, red before, says the same.

--- a/egretford/entry/processes.py
+++ b/egretford/entry/processes.py
@@ -15,7 +15,7 @@
 from egretford.http.bodies import read_body
 from egretford.http.client import BrokenResponseError, ClientConnection, ConnectError
 from egretford.platform.wire import decode_process_report, encode_state_request
-from egretford.policy.crashes import LossKind
+from egretford.policy.crashes import PROMPT_CONNECT_SECONDS, LossKind
 from egretford.timeouts import ReplyTimeout
 
 # Timeout, in seconds, and size limit, in bytes, of a worker's report of its state, which takes one
@@ -28,8 +28,6 @@
 ASK_AGAIN_SECONDS = 0.3
 # Workers whose start is remembered as they named it; the oldest are dropped.
 MAX_SEEN_STARTS = 1_000
-# Time, in seconds, in which no process takes the place of one that has just ended.
-PROMPT_CONNECT_SECONDS = 0.2
 
 
 class WorkerProcesses:
--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -21,6 +21,8 @@
 MAX_FAMILY_MEMBERS = 8
 # Fingerprints remembered that have run to their end; the oldest are dropped.
 MAX_FINGERPRINTS = 10_000
+# Time, in seconds, in which no process takes the place of one that has just ended.
+PROMPT_CONNECT_SECONDS = 0.2
 # Crashed processes remembered; the oldest are dropped.
 MAX_PROCESSES = 1_000
 # Bytes at the beginning of a body that requests of one family have in common.
@@ -126,10 +128,13 @@
     def tell_apart(self, worker: str, opened_at: float) -> str:
         """Return the name of the process to which a connection was opened at `opened_at`.
 
-        Without a start of its own it has the name of the one before, which had crashed by then.
+        Without a start of its own it has the name of the one before, which had crashed by then. One
+        that lost several connections at once before it ended has crashed once.
         """
         number, name = 0, worker
-        while (ended_at := self._ended_at.get(name)) is not None and ended_at < opened_at:
+        while (ended_at := self._ended_at.get(name)) is not None:
+            if opened_at - ended_at <= PROMPT_CONNECT_SECONDS:
+                break
             number += 1
             name = f"{worker}+{number}"
         return name
--- a/tests/policy/test_crashes.py
+++ b/tests/policy/test_crashes.py
@@ -161,3 +161,14 @@
     table.record_success(FINGERPRINT, later + 1)
     table.add(Crash(FINGERPRINT, "w5"), later + 2)
     assert not table.blocks(FINGERPRINT, later + 2)
+
+
+# Guards against a process that lost several connections at once, and then ended, that counts as
+# several: its request was refused as one that had crashed three workers.
+def test_a_process_that_lost_connections_at_once_crashed_once():
+    table = CrashTable()
+    for opened_at in (0.0, 0.002, 0.004):
+        name = table.tell_apart("w1/7", opened_at)
+        table.add(Crash(FINGERPRINT, name), opened_at + 0.001)
+    assert {crash.worker for crash in table.list_recent(1.0)} == {"w1/7"}
+    assert table.tell_apart("w1/7", 1.0) == "w1/7+1"
