Soak: a worker that ends closes its connections first, so that Python 3.11 reports no error

Cause: of the stand-in, not of the product. A worker that leaves ends with connections open, as entries keep idle ones for a moment after its entry in the list is gone. asyncio.run then cancels their tasks, and Python 3.11 logs a traceback for each cancelled one (the callback of StreamReaderProtocol calls exception() on it). The soak counts tracebacks.

Change: the worker closes its connections and waits for their tasks. The check of the soak stands as it was.

--- a/tests/black_box/worker.py
+++ b/tests/black_box/worker.py
@@ -53,6 +53,7 @@
     waiting: int = 0
     runs: dict[str, Request] = field(factory=dict)
     late: dict[wire.Channel, bytes] = field(factory=dict)
+    channels: dict[wire.Channel, asyncio.Task] = field(factory=dict)
     registering: asyncio.Lock = field(factory=asyncio.Lock)
 
     def describe(self) -> dict[str, Any]:
@@ -89,6 +90,7 @@
 
     async def serve_channel(self, reader: Any, writer: Any) -> None:
         channel, keep = wire.Channel(reader, writer), True
+        self.channels[channel] = asyncio.current_task()
         with contextlib.suppress(*wire.BROKEN):
             while keep:
                 start, headers = await asyncio.wait_for(channel.read_head(), self.options.idle_s)
@@ -96,8 +98,17 @@
                 request_id = headers.get("request-id", "")
                 keep = await self.serve(Request(channel, method, path, headers, request_id))
         self.late.pop(channel, None)
+        del self.channels[channel]
         channel.close()
 
+    async def close_channels(self) -> None:
+        # Connections that were just accepted appear by then.
+        await asyncio.sleep(0.05)
+        for channel in self.channels:
+            channel.close()
+        if self.channels:
+            await asyncio.wait(self.channels.values(), timeout=1)
+
     async def serve(self, request: Request) -> bool:
         headers, health, keep = request.headers, request.path == "/healthz", True
         own = request.path.startswith("/v1/")
@@ -328,6 +339,8 @@
         async with asyncio.timeout(5):
             while worker.runs:
                 await asyncio.sleep(0.05)
+    # Python 3.11 reports an error for each connection that it cancels as it ends.
+    await worker.close_channels()
 
 
 if __name__ == "__main__":
