Accept few connections at a time, so that a burst does not use up all descriptors

Seen: with 512 clients that connect at once to an entry with 256 descriptors, "Too many open files" 1,024 times in its log per burst (16,027 lines in one run of 10 s), and no connection to a worker meanwhile. The cap on connections held, but acted too late.

Cause: asyncio accepts as many connections at once as its backlog has, here 1,024, and calls connection_made only some turns of the loop later, so some three batches have descriptors before the cap sees the first. When accept fails, it goes on with the rest of the batch and logs each failure. With 4,100 descriptors and half of them as the cap, three batches of 1,024 are too many as well (by reading).

Change: batches of 16; the kernel's queue stays at 1,024 for callers and 512 for tunnels, as the socket listens again with it.

Evidence: test_a_crowd_that_comes_at_once_leaves_descriptors, red before, green after. Keepers' port accepts as before (512 at once, no cap): open.

--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -13,6 +13,7 @@
 from egretford.http.client import set_socket_options
 from egretford.http.framing import FramingCounter
 from egretford.http.limits import RequestLimits, ServerCapacity
+from egretford.http.listening import start_listening
 from egretford.http.messages import (
     Headers,
     HttpRequest,
@@ -73,11 +74,7 @@
 
     async def start(self, address: str) -> None:
         """Listen on `address` (IP:PORT); port 0 selects a free port."""
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ServerConnection(self), host, int(port), backlog=BACKLOG, reuse_address=True
-        )
+        self._server = await start_listening(lambda: ServerConnection(self), address, BACKLOG)
 
     @property
     def is_listening(self) -> bool:
--- a/egretford/http/tunnel.py
+++ b/egretford/http/tunnel.py
@@ -16,6 +16,7 @@
 from egretford.controllers.loops import TaskGroup
 from egretford.errors import EgretfordError
 from egretford.http.client import TARGET_UNREACHABLE_STATUS, set_keep_alive, set_socket_options
+from egretford.http.listening import start_listening
 from egretford.http.messages import encode_head, encode_status_line
 from egretford.timeouts import ReplyTimeout
 
@@ -64,11 +65,7 @@
 
     async def start(self, address: str) -> None:
         """Listen on `address` (IP:PORT)."""
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _CallerEnd(self), host, int(port), backlog=BACKLOG, reuse_address=True
-        )
+        self._server = await start_listening(lambda: _CallerEnd(self), address, BACKLOG)
 
     async def close(self) -> None:
         """Stop listening and reset all tunnels."""
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -217,6 +217,16 @@
         assert entry.open_descriptors < DESCRIPTORS
 
 
+# Guards against a burst of connections that has all descriptors before any of them is closed.
+async def test_a_crowd_that_comes_at_once_leaves_descriptors(tmp_path):
+    async with (
+        run_entry(tmp_path, DESCRIPTORS) as entry,
+        run_crowd(entry.address, HEAD, 2 * DESCRIPTORS),
+    ):
+        await entry.require_answer()
+        assert "Too many open files" not in (tmp_path / "log").read_text()
+
+
 # Guards against a process that runs out of memory for responses that many clients do not read.
 async def test_a_crowd_that_reads_nothing_ends_no_process(tmp_path):
     async def answer_large(worker, arrival, responder) -> bool:
