Bound what all callers of a server leave unread

Seen: clients that ask for a response and read only its beginning ended an entry's memory: 128 of them, 7 MiB each, took it to 548 MB in turn and to 364 MB at once, where the smallest machine has 128 MB.

Cause: a whole response goes into the write buffer of its connection. Each is bounded, and TCP_USER_TIMEOUT ends a connection that is not read after 3 s, but nothing bounded their sum meanwhile. The earlier test had 60 clients that asked once, of which all but three were refused, so it saw nothing.

Change: the server counts what is unsent on each connection. Beyond 16 MiB the connection that has sent nothing for longest is closed; one that reads goes behind the others, as what it has sent grows. A large body is written by itself, without two copies. Responses on the users' pages have some kilobytes, so callers that read do not come near the cap. Stand-ins of workers use the same server, and have no cap: with it, their reset responses counted as crashes and the path was quarantined for 120 s.

--- a/egretford/http/limits.py
+++ b/egretford/http/limits.py
@@ -36,12 +36,14 @@
 class ServerCapacity:
     """Limits on all connections of a server together.
 
-    `held_bytes` bounds the memory of requests that are read, wait or are handled.
+    `held_bytes` bounds the memory of requests that are read, wait or are handled, `unread_bytes`
+    that of responses which callers have not read.
     """
 
     connections: int = field(default=Factory(_count_connections))
     held_bytes: int = 50_331_648
+    unread_bytes: int = 16_777_216
 
 
 # For servers that only the platform and operators ask.
-SMALL_CAPACITY = ServerCapacity(connections=64, held_bytes=1_048_576)
+SMALL_CAPACITY = ServerCapacity(connections=64, held_bytes=1_048_576, unread_bytes=4_194_304)
--- a/egretford/http/responder.py
+++ b/egretford/http/responder.py
@@ -16,6 +16,10 @@
     from egretford.http.server import ServerConnection
 
 
+# Bodies of so many bytes are written by themselves, without a copy of what is left to send.
+MIN_SEPARATE_BYTES = 65_536
+
+
 class CallerGoneError(ConnectionError):
     """The caller closed its connection."""
 
@@ -41,7 +45,12 @@
         """Send a complete response; adds Content-Length."""
         fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._connection_fields()]
         self.started = True
-        self._connection.write(encode_head(encode_status_line(status), fields) + body)
+        head = encode_head(encode_status_line(status), fields)
+        if len(body) < MIN_SEPARATE_BYTES:
+            self._connection.write(head + body)
+        else:
+            self._connection.write(head)
+            self._connection.write(memoryview(body))
         self._finish()
 
     def start_stream(self, status: int, headers: Headers) -> None:
--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -116,6 +116,7 @@
         self._lingering = False
         self._dropped_bytes = 0
         self._handled_bytes = 0
+        self._written_bytes = 0
         self.closed = False
         self.close_after_response = False
         self.peer = ""
@@ -132,7 +133,7 @@
     @property
     def is_handling(self) -> bool:
         """Whether a request is being handled, or its response not all sent."""
-        return self._task is not None or self._transport.get_write_buffer_size() > 0
+        return self._task is not None or self.unread_bytes > 0
 
     @property
     def pending_bytes(self) -> int:
@@ -141,6 +142,16 @@
         reading = _measure(len(self._body) + self._field_bytes, self._headers)
         return waiting + (reading if self._reading else 0)
 
+    @property
+    def unread_bytes(self) -> int:
+        """The bytes of responses that wait until the caller reads."""
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def sent_bytes(self) -> int:
+        """The bytes of responses that were sent."""
+        return self._written_bytes - self.unread_bytes
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read, queued or handled."""
@@ -417,10 +428,14 @@
         else:
             self._refuse(408, f"the header took over {limits.header_timeout} s")
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         """Write, unless the connection is closed."""
-        if not self.closed and not self._lingering:
-            self._transport.write(data)
+        if self.closed or self._lingering:
+            return
+        self._written_bytes += len(data)
+        self._transport.write(data)
+        if self.unread_bytes:
+            self._server.connections.record_unread(self)
 
     async def drain(self) -> None:
         """Wait until the write buffer has room; raises CallerGoneError."""
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import struct
+import sys
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, unquote
 
@@ -14,7 +15,7 @@
 
 from egretford.clock import SystemClock
 from egretford.http.client import BodyEnd, BodyPart, ClientConnection
-from egretford.http.limits import RequestLimits
+from egretford.http.limits import RequestLimits, ServerCapacity
 from egretford.http.messages import Headers, HttpRequest, encode_head, encode_status_line
 from egretford.http.responder import Responder
 from egretford.http.server import HttpServer
@@ -55,7 +56,9 @@
 
     def __init__(self) -> None:
         limits = RequestLimits(idle_timeout=60)
-        self.server = HttpServer(self.handle, limits, SystemClock(), NullLog())
+        # Those that the stand-ins stand for have no such limits.
+        capacity = ServerCapacity(unread_bytes=sys.maxsize)
+        self.server = HttpServer(self.handle, limits, SystemClock(), NullLog(), capacity)
 
     async def start(self) -> None:
         await self.server.start("127.0.0.1:0")
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -29,6 +29,7 @@
 SMALL_CHUNKS = CHUNKED + b"8\r\n12345678\r\n" * 300_000
 SHORT_BODY = POST + b"Content-Length: 4194304\r\n\r\n" + b"x" * (4 * MIB - 304)
 HEAD = b"GET /ping/1 HTTP/1.1\r\nHost: farm.example\r\n"
+GET_LARGE = HEAD.replace(b"/1", b"/large", 1) + b"Request-Id: c\r\n\r\n"
 AHEAD = POST + b"Content-Length: 60000\r\n\r\n" + b"x" * 60_000
 # What each client of a crowd sends before it stays open, and how many there are.
 CROWDS = {
@@ -149,19 +150,22 @@
             while self.sent < size and not all(task.done() for task in self._tasks):
                 await asyncio.sleep(0.05)
 
-    async def _stay(self) -> None:
+    async def _connect(self):
         host, _, port = self.address.rpartition(":")
+        sock = socket.socket()
+        sock.setblocking(False)
+        if not self.reads:
+            # Else the kernel takes a response that nobody reads.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        return await asyncio.open_connection(sock=sock)
+
+    async def _stay(self) -> None:
         is_first = True
         while is_first or self.returns:
             writer = None
             with contextlib.suppress(OSError):
-                # Else the kernel takes a response that nobody reads.
-                sock = socket.socket()
-                sock.setblocking(False)
-                if not self.reads:
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-                await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-                reader, writer = await asyncio.open_connection(sock=sock)
+                reader, writer = await self._connect()
                 writer.write(self.data)
                 with contextlib.suppress(OSError):
                     await writer.drain()
@@ -182,9 +186,36 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
+@define
+class StalledCrowd(Crowd):
+    """Clients that each read the beginning of a response, and nothing after that.
+
+    Up to `at_once` ask at a time.
+    """
+
+    reads: bool = False
+    at_once: int = 1
+    _asking: asyncio.Semaphore = Factory(lambda self: asyncio.Semaphore(self.at_once), True)
+
+    async def _stay(self) -> None:
+        while True:
+            writer = None
+            with contextlib.suppress(OSError):
+                async with self._asking:
+                    reader, writer = await self._connect()
+                    writer.write(self.data)
+                    is_answered = await reader.read(12) == b"HTTP/1.1 200"
+                if is_answered:
+                    self.sent += 1
+                    await asyncio.sleep(600)
+            if writer is not None:
+                writer.transport.abort()
+            await asyncio.sleep(0.05)
+
+
 @contextlib.asynccontextmanager
-async def run_crowd(address: str, data: bytes, size: int, **more):
-    crowd = Crowd(address, data, **more)
+async def run_crowd(address: str, data: bytes, size: int, kind: type[Crowd] = Crowd, **more):
+    crowd = kind(address, data, **more)
     try:
         await crowd.join(size)
         yield crowd
@@ -217,6 +248,16 @@
         assert entry.open_descriptors < DESCRIPTORS
 
 
+def answer_large(size: int):
+    async def answer(worker, arrival, responder) -> bool:
+        if arrival.http.path != b"/ping/large":
+            return False
+        responder.send_response(200, worker.sign(arrival.request_id), b"x" * size)
+        return True
+
+    return answer
+
+
 # Guards against a burst of connections that has all descriptors before any of them is closed.
 async def test_a_crowd_that_comes_at_once_leaves_descriptors(tmp_path):
     async with (
@@ -228,17 +269,11 @@
 
 
 # Guards against a process that runs out of memory for responses that many clients do not read.
-async def test_a_crowd_that_reads_nothing_ends_no_process(tmp_path):
-    async def answer_large(worker, arrival, responder) -> bool:
-        if arrival.http.path != b"/ping/large":
-            return False
-        responder.send_response(200, worker.sign(arrival.request_id), b"x" * 7 * MIB)
-        return True
-
-    request = HEAD.replace(b"/1", b"/large", 1) + b"Request-Id: c\r\n\r\n"
+@pytest.mark.parametrize(("size", "clients"), [(7 * MIB, 60), (300_000, 1_000)])
+async def test_a_crowd_that_reads_nothing_ends_no_process(tmp_path, size, clients):
     async with run_entry(tmp_path) as entry:
-        entry.worker.script = answer_large
-        async with run_crowd(entry.address, request, 60, reads=False):
+        entry.worker.script = answer_large(size)
+        async with run_crowd(entry.address, GET_LARGE, clients, reads=False):
             # By then each has its response, or was closed.
             await asyncio.sleep(10)
             await entry.require_answer()
@@ -246,6 +281,20 @@
             assert entry.peak_kb < MEMORY_KB
 
 
+# Guards against a process whose connections and memory are all held by clients that stop reading.
+@pytest.mark.parametrize("at_once", [1, DESCRIPTORS // 2])
+async def test_a_crowd_that_stops_reading_ends_no_process(tmp_path, at_once):
+    size = DESCRIPTORS // 2
+    async with run_entry(tmp_path, DESCRIPTORS) as entry:
+        entry.worker.script = answer_large(7 * MIB)
+        crowd = {"kind": StalledCrowd, "at_once": at_once}
+        async with run_crowd(entry.address, GET_LARGE, size, **crowd):
+            await entry.require_answer()
+            assert entry.process.poll() is None
+            assert entry.open_descriptors < DESCRIPTORS
+            assert entry.peak_kb < MEMORY_KB
+
+
 # Guards against a limit on the sum that refuses a single request inside the limits.
 async def test_one_request_of_full_size_is_served(tmp_path):
     async with run_entry(tmp_path) as entry:
