--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -227,6 +227,7 @@
             "routes": [
                 route("chat", "streaming", "models", **chat),
                 route("plan", "streaming", "models", **plan),
+                route("tell", "streaming", "models", **stream),
                 route("ping", "safe", "booking", attempts=3, timeout_ms=1000),
                 route("book", "unsafe", "booking", timeout_ms=1500),
             ],
