--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -219,7 +219,7 @@
         stream = {"session_affinity": True, "gap_aim_ms": 300}
         chat = stream | {"retain": True, "retention_s": 60.0, "resumable": False}
         plan = stream | {"retain": False, "resumable": True}
-        engine = {"slots": 8, "kv_capacity": 418135, "tokens_per_event": 32}
+        engine = {"slots": 12, "kv_capacity": 418135, "tokens_per_event": 32}
         limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304}
         limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         return {
--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -23,6 +23,7 @@
         self.ip, self.port = ip, port
         self.record = record
         self.engine = more.get("engine", False)
+        self.slots = more.get("slots", SLOTS)
         self.events = more.get("events", 4)
         self.event_seconds = more.get("event_seconds", 0.01)
         self.work_seconds = more.get("work_seconds", 0.02)
@@ -47,7 +48,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
-            "slots": SLOTS,
+            "slots": self.slots,
             "phase": phase,
             "cold_remaining_ms": 0,
             "call_seq": 0,
@@ -94,7 +95,7 @@
         return {
             "Request-Id": request.get("request-id"),
             "Response-Signature": f"sig.{self.name}.{request.get('request-id')}",
-            "Server-Load": f"{self.running},0,{SLOTS}",
+            "Server-Load": f"{self.running},0,{self.slots}",
         }
 
     async def _answer(self, request: Message, writer) -> None:
@@ -112,7 +113,7 @@
             writer.write(encode("HTTP/1.1 421 Misdirected Request", fields))
             return
         choice = self.plan(self, request)
-        if choice == "shed" or self.running >= SLOTS:
+        if choice == "shed" or self.running >= self.slots:
             fields = {"Not-Executed": "1", "Request-Id": request.get("request-id")}
             writer.write(encode("HTTP/1.1 503 Service Unavailable", fields))
             return
