Log how long a turn waits for keepers, count what they are sent

The line `answered` had the whole time only, so that it could not tell a turn that waited for keepers (its budget, its history, its copies) from one that waited for a worker; and nothing said how many messages, of which kind and size, a turn or a crash costs.

`answered` has `admit_ms` and `keep_ms` now. Each entry counts `sent.KIND` and `sent_bytes.KIND` on its metrics address. A message that goes to several keepers in a row is encoded once, which also is where it is counted.

--- a/egretford/entry/daemon.py
+++ b/egretford/entry/daemon.py
@@ -59,7 +59,9 @@
         self._health = StoreHealth(clock, self._make_logger("store"))
         self._dialer = WorkerDialer(clock, metrics, self._make_logger("dialing"))
         self.workers = WorkerTable(clock, self._health, self._dialer, self._make_logger("workers"))
-        self._peers = StreamPeerClient(KeeperRequest, KeeperReply, self._make_logger("peer"))
+        self._peers = StreamPeerClient(
+            KeeperRequest, KeeperReply, self._make_logger("peer"), metrics
+        )
         self._keepers = KeeperClient(
             self._peers,
             StoredView(self._store).read,
--- a/egretford/entry/gateway.py
+++ b/egretford/entry/gateway.py
@@ -193,6 +193,8 @@
             offers=job.offers,
             ms=round(seconds * 1_000, 1),
             kept_by=job.kept_by,
+            admit_ms=round(job.admission_seconds * 1_000, 1),
+            keep_ms=round(job.keep_seconds * 1_000, 1),
             config=self.configuration_version,
         )
 
@@ -225,7 +227,9 @@
                 job.stream = await self._origins.open(request, route, job.upstream, former)
             job.upstream = job.stream.upstream
         with self._set_retry_after(KEEPERS_CAUSE):
+            started = self._clock.monotonic()
             admission = await self._admit(job)
+            job.admission_seconds = self._clock.monotonic() - started
         try:
             with self._set_retry_after(job.upstream):
                 await self._forwarder.run(job)
@@ -274,7 +278,9 @@
 
     async def _keep(self, job: ForwardingJob, admission: TurnAdmission) -> None:
         """Store the turn; its keepers are logged, for the day on which it cannot be found."""
+        started = self._clock.monotonic()
         await admission.keep(bytes(job.output), job.events)
+        job.keep_seconds = self._clock.monotonic() - started
         job.kept_by = admission.kept_by
 
     def _send_error(
--- a/egretford/entry/jobs.py
+++ b/egretford/entry/jobs.py
@@ -38,6 +38,8 @@
     `on_loss` is called with a worker that may have crashed, and `is_blocked` tells whether enough
     have for the request to be sent no more.
     `kept_by` names the keepers that hold the turn, once it is kept.
+    `admission_seconds` and `keep_seconds` are the time that the turn waited for keepers, before it
+    was sent to a worker and after its last event.
     `succeeded` is set once a success of a worker was relayed whole.
     `sequence` has the numbers of the events that the caller has, also from before a resumption.
     `stream` is set for streams that callers may resume, and `media_type` once a stream has begun
@@ -73,6 +75,8 @@
     process_start: int = 0
     connection: ClientConnection | None = None
     kept_by: list[str] = Factory(list)
+    admission_seconds: float = 0.0
+    keep_seconds: float = 0.0
     history: AttemptHistory = field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/egretford/peer/streams.py
+++ b/egretford/peer/streams.py
@@ -17,6 +17,7 @@
 from egretford.codec import decode_bytes, encode_bytes
 from egretford.controllers.loops import TaskGroup
 from egretford.errors import ErrorKind, PeerDownError, PeerUnreachableError, RequestError, Verdict
+from egretford.metrics import Metrics
 from egretford.models import ErrorReply
 from egretford.peer.frames import FrameProtocol, ServedConnection
 from egretford.timeouts import ReplyTimeout
@@ -92,10 +93,14 @@
     `requests` and `replies` are the tagged unions used to encode and decode the messages.
     """
 
-    def __init__(self, requests: Any, replies: Any, log: Any) -> None:
+    def __init__(
+        self, requests: Any, replies: Any, log: Any, metrics: Metrics | None = None
+    ) -> None:
         self._requests = requests
         self._replies = replies
         self._log = log
+        self._metrics = metrics
+        self._newest: tuple[Any, bytes] = (None, b"")
         self._links: dict[str, _Link] = {}
         self._open_links: set[_Link] = set()
         self._request_numbers = itertools.count(1)
@@ -131,7 +136,7 @@
         Raises the RequestError that the peer replied with, or PeerUnreachableError if there was
         no valid reply; the peer may have processed the request even so, unless it is down.
         """
-        data = encode_bytes(message, self._requests)
+        data = self._encode(message)
         link = self._find_link(address)
         try:
             async with ReplyTimeout(seconds):
@@ -153,6 +158,17 @@
             raise reply.to_error()
         return reply
 
+    def _encode(self, message: Any) -> bytes:
+        """Encode a message, once if it is sent to several peers in a row."""
+        if self._newest[0] is not message:
+            self._newest = message, encode_bytes(message, self._requests)
+        data = self._newest[1]
+        if self._metrics is not None:
+            kind = type(message).__name__
+            self._metrics.count(f"sent.{kind}")
+            self._metrics.count(f"sent_bytes.{kind}", len(data))
+        return data
+
     def _find_link(self, address: str) -> _Link:
         link = self._links.get(address)
         if link is None:
