Ask as many keepers as a quorum needs, others only if one is late

Cause: the budget's reservation, its settlement and the record of a stream each went to all five keepers of a group, though a quorum of three makes them safe; a turn had some 8 reservations and 11 records. Each costs a wake and some system calls at both ends, and so does the reply.

Change: QuorumRequest asks the nearest members that answer first, the next one for each that fails, and all after 50 ms (250 ms for what nobody waits for). One that made others necessary is asked after them for 0.7 s. The members that were not asked copy the record with the next page, as before. A resumption still asks all, as it needs those that were there all the time.

--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -47,8 +48,14 @@
 # Least interval, in seconds, between log lines about a keeper that keeps failing, for example
 # because its disk refuses writes.
 FAILURE_LOG_INTERVAL_SECONDS = 1.0
-# Seconds for which a keeper that did not answer is treated as unavailable.
+# Seconds for which a keeper that did not answer is treated as unavailable, and one that delayed a
+# quorum is asked after others.
 UNAVAILABLE_SECONDS = 0.7
+# Seconds without a quorum after which the rest of a group is asked as well. A reply from another
+# region takes some tens of milliseconds.
+HEDGE_DELAY_SECONDS = 0.05
+# The same for requests that nobody waits for.
+BACKGROUND_HEDGE_DELAY_SECONDS = 0.25
 # Seconds for which it counts that a keeper was down, or that the store had a view.
 EVIDENCE_SECONDS = 1.5
 
@@ -57,24 +64,25 @@
     """Too few keepers answered; some may have executed the request."""
 
 
-@define
+@define(eq=False)
 class QuorumRequest:
-    """A request to some members of a view that needs `needed` replies of type `kind`."""
+    """A request to a group of members of a view that needs `needed` replies of type `kind`.
+
+    As many members are asked as are needed, those in front first. Each one that fails is made up
+    for by the next at once, and all others are asked if there is no quorum after the hedge delay:
+    a member that was not asked costs nothing, and copies the record from those that were.
+    """
 
     view: View
     kind: type
     needed: int
+    unasked: deque[Member]
+    _ask: Callable[[Member], asyncio.Task[KeeperReply]]
+    _is_outdated: Callable[[], bool]
     tasks: dict[Member, asyncio.Task[KeeperReply]] = Factory(dict)
-
-    @property
-    def replies(self) -> dict[Member, Any]:
-        """The replies of type `kind` received so far, by member."""
-        answered = {
-            member: task.result()
-            for member, task in self.tasks.items()
-            if task.done() and not task.cancelled() and task.exception() is None
-        }
-        return {m: reply for m, reply in answered.items() if isinstance(reply, self.kind)}
+    replies: dict[Member, Any] = Factory(dict)
+    _failures: int = 0
+    _decided: asyncio.Future[None] = Factory(lambda: asyncio.get_running_loop().create_future())
 
     @property
     def has_enough(self) -> bool:
@@ -83,13 +91,46 @@
 
     @property
     def pending(self) -> list[asyncio.Task[KeeperReply]]:
-        """The tasks of members that have not answered yet."""
+        """The tasks of members that were asked and have not answered yet."""
         return [task for task in self.tasks.values() if not task.done()]
 
-    def is_decided(self) -> bool:
-        """Whether the quorum was reached, or can no longer be reached."""
-        impossible = len(self.pending) + len(self.replies) < self.needed
-        return self.has_enough or impossible
+    async def run(self, hedge_delay: float) -> None:
+        """Ask until a quorum is reached or impossible, or a newer view is known.
+
+        `hedge_delay` is in seconds.
+        """
+        self._ask_more(self.needed)
+        self._check()
+        await asyncio.wait([self._decided], timeout=hedge_delay)
+        if not self._decided.done():
+            self.ask_all()
+            await self._decided
+
+    def ask_all(self) -> None:
+        """Ask the members that were not asked yet."""
+        self._ask_more(len(self.unasked))
+
+    def _ask_more(self, count: int) -> None:
+        for _ in range(min(count, len(self.unasked))):
+            member = self.unasked.popleft()
+            self.tasks[member] = task = self._ask(member)
+            task.add_done_callback(lambda done, member=member: self._handle_done(member, done))
+
+    def _handle_done(self, member: Member, task: asyncio.Task[KeeperReply]) -> None:
+        if not task.cancelled() and task.exception() is None and type(task.result()) is self.kind:
+            self.replies[member] = task.result()
+        else:
+            self._failures += 1
+            if not self._decided.done() and not self._is_outdated():
+                self._ask_more(1)
+        self._check()
+
+    def _check(self) -> None:
+        if self._decided.done():
+            return
+        possible = len(self.tasks) - self._failures + len(self.unasked)
+        if self.has_enough or possible < self.needed or self._is_outdated():
+            self._decided.set_result(None)
 
 
 def describe_outcome(task: asyncio.Future[KeeperReply]) -> str:
@@ -134,6 +175,7 @@
         self._groups = GroupCache(tolerated_losses)
         self._tasks = TaskGroup()
         self._unavailable_until: dict[str, float] = {}
+        self._slow_until: dict[str, float] = {}
         self._failure_log_due: dict[str, float] = {}
         self._not_ready: set[str] = set()
         self._needs_view_refresh = True
@@ -253,7 +295,8 @@
     def find_group(self, program: str) -> list[Member]:
         """Return the members that hold a program's charges."""
         disks = self._groups.find(list_active(self.view), program)
-        return [member for member in self.view.active if member.disk in disks]
+        members = {member.disk: member for member in self.view.active}
+        return [members[disk] for disk in disks]
 
     def has_all_records(self) -> bool:
         """Whether each stored record is sure to be held by some member.
@@ -309,14 +352,16 @@
     async def request_quorum(
         self,
         program: str,
-        build: Callable[[Member], KeeperRequest],
+        message: KeeperRequest,
         kind: type,
         *,
         fail_fast: bool = True,
+        hedge_delay: float = HEDGE_DELAY_SECONDS,
     ) -> QuorumRequest:
         """Send a request to a program's group; returns once a quorum answered with `kind`.
 
-        Requests to the other members continue in the background. Raises
+        See QuorumRequest for which members are asked; those that are slower than a quorum of the
+        others go on in the background. `hedge_delay` is in seconds. Raises
         KeepersUnavailableError if no quorum can be reached, with `fail_fast` also if too many
         members failed shortly before.
         """
@@ -333,11 +378,21 @@
                     for m in group
                 ]
                 break
-            quorum_request = self._send_to_group(QuorumRequest(view, kind, quorum), group, build)
-            await self._wait_for_quorum(quorum_request)
+            stamped = evolve(message, view=view.number)
+            quorum_request = QuorumRequest(
+                view,
+                kind,
+                quorum,
+                deque(self._order_group(group)),
+                lambda member, stamped=stamped: self._start(member, stamped),
+                lambda view=view: self.view.number > view.number,
+            )
+            await quorum_request.run(hedge_delay)
+            self._record_delays(quorum_request)
             if quorum_request.has_enough:
                 return quorum_request
             outcomes = [f"{m.name}: {describe_refusal(t)}" for m, t in quorum_request.tasks.items()]
+            outcomes += [f"{member.name}: not asked" for member in quorum_request.unasked]
             if self.view.number == view.number:
                 # Members that did not answer may have been replaced since.
                 await self._read_newer_view()
@@ -355,29 +410,32 @@
         )
         raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}")
 
-    def _send_to_group(
-        self,
-        quorum_request: QuorumRequest,
-        members: list[Member],
-        build: Callable[[Member], KeeperRequest],
-    ) -> QuorumRequest:
-        for member in members:
-            quorum_request.tasks[member] = self.start_request(member, build(member))
-        return quorum_request
-
-    async def _wait_for_quorum(self, quorum_request: QuorumRequest) -> None:
-        """Wait until a quorum is reached or impossible, or a newer view is known."""
-        while not quorum_request.is_decided():
-            await asyncio.wait(quorum_request.pending, return_when=asyncio.FIRST_COMPLETED)
-            if self.view.number > quorum_request.view.number:
-                return
+    def _order_group(self, group: list[Member]) -> list[Member]:
+        """Return a group's members in the order to ask them: those that answer first, then near."""
+        now = self._clock.monotonic()
+
+        def delays(member: Member) -> bool:
+            return not self.is_available(member) or self._slow_until.get(member.disk, 0.0) > now
+
+        return sorted(self.rank_by_distance(group), key=delays)
+
+    def _record_delays(self, quorum_request: QuorumRequest) -> None:
+        """Ask members after others for a while that made a hedge or another member necessary."""
+        if len(quorum_request.tasks) <= quorum_request.needed:
+            return
+        slow_until = self._clock.monotonic() + UNAVAILABLE_SECONDS
+        for member in list(quorum_request.tasks)[: quorum_request.needed]:
+            if member not in quorum_request.replies:
+                self._slow_until[member.disk] = slow_until
 
     def start_request(self, member: Member, message: KeeperRequest) -> asyncio.Task[KeeperReply]:
         """Send a request to one member in the background.
 
         Its outcome is recorded even if the returned task is not awaited.
         """
-        message = evolve(message, view=self.view.number)
+        return self._start(member, evolve(message, view=self.view.number))
+
+    def _start(self, member: Member, message: KeeperRequest) -> asyncio.Task[KeeperReply]:
         task = self._tasks.spawn(self._send_to_member(member, message))
         # Marks the exception as retrieved: _send_to_member logs failures, including those after
         # a quorum was reached.
--- a/egretford/entry/origins.py
+++ b/egretford/entry/origins.py
@@ -134,7 +134,7 @@
                 # included.
                 quorum_request = await self._keepers.request_quorum(
                     program,
-                    lambda member: FindAttempts(program, seconds),
+                    FindAttempts(program, seconds),
                     FoundAttempts,
                     fail_fast=False,
                 )
@@ -161,7 +161,7 @@
         try:
             # It is tried too if keepers failed shortly before, as when connections were reset.
             await self._keepers.request_quorum(
-                charge.program, lambda member: Keep(charge, None), Kept, fail_fast=False
+                charge.program, Keep(charge, None), Kept, fail_fast=False
             )
         except KeepersUnavailableError as error:
             self._log.info(
@@ -211,6 +211,7 @@
 
     Raises KeepersUnavailableError if there is none.
     """
+    quorum_request.ask_all()
     while True:
         witnesses = [reply for reply in quorum_request.replies.values() if reply.was_there]
         if len(witnesses) >= quorum_request.needed:
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -9,7 +9,12 @@
 
 from egretford.clock import Clock
 from egretford.entry.copies import TurnCopies
-from egretford.entry.keepers import KeeperClient, KeepersUnavailableError, describe_refusal
+from egretford.entry.keepers import (
+    BACKGROUND_HEDGE_DELAY_SECONDS,
+    KeeperClient,
+    KeepersUnavailableError,
+    describe_refusal,
+)
 from egretford.entry.models import CallerRequest, Route
 from egretford.errors import EgretfordError, ErrorKind, RequestError
 from egretford.keeper.messages import (
@@ -164,7 +169,7 @@
         budget = request.token_budget
         for attempt in range(BUDGET_RETRIES + 1):
             quorum_request = await self._keepers.request_quorum(
-                charge.program, lambda member: Reserve(charge, None, with_chain=False), Reserved
+                charge.program, Reserve(charge, None, with_chain=False), Reserved
             )
             ledger = merge_ledgers(
                 reply.charges.unpack() for reply in quorum_request.replies.values()
@@ -315,7 +320,10 @@
         for _ in range(SETTLE_ATTEMPTS):
             try:
                 await self._keepers.request_quorum(
-                    charge.program, lambda member: Keep(charge, None), Kept
+                    charge.program,
+                    Keep(charge, None),
+                    Kept,
+                    hedge_delay=BACKGROUND_HEDGE_DELAY_SECONDS,
                 )
                 return
             except KeepersUnavailableError:
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -36,7 +36,7 @@
 class RecordingKeepers:
     """A keeper client whose keepers take each record; they are not asked for any."""
 
-    async def request_quorum(self, program, build, kind, *, fail_fast=True):
+    async def request_quorum(self, program, message, kind, *, fail_fast=True, hedge_delay=0.05):
         assert kind is Kept
 
     def has_available_quorum(self, program):
--- a/tests/entry/test_keepers.py
+++ b/tests/entry/test_keepers.py
@@ -25,18 +25,14 @@
 KEEP = Keep(None, None)
 
 
-def send_keep(member):
-    return KEEP
-
-
 async def test_a_quorum_is_enough_and_an_impossible_one_fails_at_once(make_client):
     client, _ = make_client(a=(NotReady("copying"), 0.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
-    assert (await client.request_quorum("p", send_keep, Kept)).has_enough
+    assert (await client.request_quorum("p", KEEP, Kept)).has_enough
     client, _ = make_client(a=(NotReady(""), 0.0), b=(NotReady(""), 0.0), c=(Kept(), 0.6))
     loop = asyncio.get_running_loop()
     started = loop.time()
     with pytest.raises(KeepersUnavailableError):
-        await client.request_quorum("p", send_keep, Kept)
+        await client.request_quorum("p", KEEP, Kept)
     assert loop.time() - started < 0.3
 
 
@@ -67,7 +63,7 @@
         return Kept() if message.view == 4 else OutdatedView(newer)
 
     client, peers = make_client(a=(answer, 0.0), b=(answer, 0.0), c=(answer, 0.0))
-    assert (await client.request_quorum("p", send_keep, Kept)).has_enough
+    assert (await client.request_quorum("p", KEEP, Kept)).has_enough
     assert client.view.number == 4 and len(peers.asked) >= 4
 
 
@@ -75,7 +71,7 @@
 async def test_a_keeper_that_is_not_ready_for_charges_is_still_preferred_for_turns(make_client):
     client, _ = make_client(a=(NotReady("copying"), 0.0), b=(Kept(), 0.0), c=(Kept(), 0.0))
     before = [client.rank_copies(f"p{n}") for n in range(8)]
-    assert (await client.request_quorum("p", send_keep, Kept)).has_enough
+    assert (await client.request_quorum("p", KEEP, Kept)).has_enough
     assert [client.rank_copies(f"p{n}") for n in range(8)] == before
 
 
@@ -86,7 +82,7 @@
     )
     client._log = ListLog()
     with pytest.raises(KeepersUnavailableError):
-        await client.request_quorum("p", send_keep, Kept)
+        await client.request_quorum("p", KEEP, Kept)
     (fields,) = [fields for event, fields in client._log.lines if event == "no quorum answered"]
     outcomes = ["a: NotReady: copying", "b: NotReady: copying", "c: no answer yet"]
     assert fields["outcomes"] == outcomes
@@ -98,7 +94,7 @@
     client._log = ListLog()
     client._unavailable_until = {"d-b": math.inf, "d-c": math.inf}
     with pytest.raises(KeepersUnavailableError):
-        await client.request_quorum("p", send_keep, Kept)
+        await client.request_quorum("p", KEEP, Kept)
     (fields,) = [fields for event, fields in client._log.lines if event == "no quorum answered"]
     assert fields["outcomes"] == ["a: not asked", "b: unavailable", "c: unavailable"]
     assert not peers.asked
@@ -134,7 +130,7 @@
     client.update_view(view)
     clock.time += 10.0
     try:
-        await client.request_quorum("p", send_keep, Kept, fail_fast=False)
+        await client.request_quorum("p", KEEP, Kept, fail_fast=False)
     except KeepersUnavailableError:
         return client, clock, store
     raise AssertionError("a quorum answered")
