Exchange what is new of crashes, and once for losses that come together

Cause: state that is shared grew with the trouble, times entries, times keepers. Each entry got all known crashes from its keeper once a second; each lost request that was taken for a crash had two exchanges, the second of all that was known with all keepers, which answered with all of it.

Change: crashes and successes have a position at which a process learnt of them. A request names the keeper's position that its entry has seen, and the reply has what came later; an entry sends a keeper what it has observed itself since, and all it knows to one that was restarted, is new or lacked something. Exchanges follow one another, and all losses that wait share the next. Keepers of earlier builds refuse the new field and get the former requests; entries of earlier builds get all that is known, as before.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -4,15 +4,22 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from enum import IntEnum
 from typing import Any
 
-from attrs import evolve, frozen
+from attrs import Factory, define, evolve, frozen
 
 from egretford.clock import Clock
 from egretford.controllers.loops import TaskGroup, run_every
 from egretford.entry.keepers import KeeperClient
 from egretford.errors import EgretfordError, PeerUnreachableError, RequestError
-from egretford.keeper.messages import CrashList, CrashReports, ReportCrashes, ShareCrashes
+from egretford.keeper.messages import (
+    CrashList,
+    CrashPosition,
+    CrashReports,
+    ReportCrashes,
+    ShareCrashes,
+)
 from egretford.policy.crashes import Crash, CrashReport, CrashTable
 from egretford.policy.views import Member
 
@@ -20,10 +27,18 @@
 SHARE_INTERVAL_SECONDS = 1.0
 # Time in which a process that broke a connection ends, if it does, in seconds.
 CHECK_DELAY_SECONDS = 0.3
-# A keeper that refused the present request gets the earlier one for so many seconds.
+# A keeper that refused a form of the request gets the one before for so many seconds.
 REFUSAL_BACKOFF_SECONDS = 10.0
 
 
+class _Form(IntEnum):
+    """The forms of the request, by version of the keeper: what a reply has."""
+
+    WITHOUT_AGES = 0
+    ALL = 1
+    NEWS = 2
+
+
 @frozen
 class _Loss:
     """A request that was lost with a process; times in monotonic seconds."""
@@ -33,6 +48,26 @@
     lost_at: float
 
 
+@define
+class _Keeper:
+    """What a keeper is known to know, and how it is asked.
+
+    `unsent` has the fingerprints with observations of this entry that it has not got; with
+    `lacks_others` it lacks some of others as well, so that it gets all that is known.
+    """
+
+    seen: CrashPosition = Factory(CrashPosition)
+    unsent: set[str] = Factory(set)
+    lacks_others: bool = True
+    form: _Form = _Form.NEWS
+    form_until: float = 0.0
+
+    @property
+    def lacks_any(self) -> bool:
+        """Whether there is something to send to it."""
+        return self.lacks_others or bool(self.unsent)
+
+
 class SharedCrashes:
     """This entry's crash table, merged with those of other entries about once a second."""
 
@@ -41,22 +76,23 @@
         self._clock = clock
         self._log = log
         self._table = CrashTable()
-        # Fingerprints with observations that no keeper has.
+        # By disk.
+        self._known_keepers: dict[str, _Keeper] = {}
+        # Fingerprints with observations that were made while no keeper was known.
         self._unsent: set[str] = set()
-        # Disks of keepers that may lack something that is known here.
-        self._behind: set[str] = set()
-        # By disk of a keeper of an earlier version, until when it gets the earlier request.
-        self._refused_until: dict[str, float] = {}
-        self._has_asked_all = False
         # By the name of a process, the losses that wait for its check.
         self._unchecked: dict[str, list[_Loss]] = {}
         self._is_started = False
+        self._sharing = asyncio.Lock()
+        self._next_share: asyncio.Task[None] | None = None
         self._tasks = TaskGroup()
 
     async def start(self) -> None:
         """Start to exchange crashes in the background."""
         self._is_started = True
-        self._tasks.spawn(run_every(self._clock, SHARE_INTERVAL_SECONDS, self._share, self._log))
+        self._tasks.spawn(
+            run_every(self._clock, SHARE_INTERVAL_SECONDS, self._share_now, self._log)
+        )
 
     async def close(self) -> None:
         """Stop the exchange; crashes that were not sent yet are lost to other entries."""
@@ -65,7 +101,7 @@
     def add(self, crash: Crash) -> None:
         """Record a crash that this entry observed; it is sent at the next exchange if new."""
         if self._table.add(crash, self._clock.monotonic()):
-            self._unsent.add(crash.fingerprint)
+            self._queue(crash.fingerprint)
 
     def check(
         self, crash: Crash, opened_at: float, is_running: Callable[[], Awaitable[bool]]
@@ -97,17 +133,32 @@
             crash, now = evolve(loss.crash, worker=name), self._clock.monotonic()
             self._log.info("a worker crashed", worker=name, fingerprint=crash.fingerprint)
             if self._table.add(crash, now, now - loss.lost_at):
-                self._unsent.add(crash.fingerprint)
+                self._queue(crash.fingerprint)
         await self._share_now()
 
+    def _queue(self, fingerprint: str) -> None:
+        """Have the observations of a fingerprint sent to all keepers."""
+        self._unsent.add(fingerprint)
+        for keeper in self._known_keepers.values():
+            keeper.unsent.add(fingerprint)
+
     async def _share_now(self) -> None:
-        if self._is_started:
+        """Exchange once the exchange that runs has ended; all who wait for that share one."""
+        if not self._is_started:
+            return
+        if self._next_share is None:
+            self._next_share = self._tasks.spawn(self._share_next())
+        await asyncio.shield(self._next_share)
+
+    async def _share_next(self) -> None:
+        async with self._sharing:
+            self._next_share = None
             await self._share()
 
     def record_success(self, fingerprint: str) -> None:
         """Clear the crashes of a fingerprint after a worker completed such a request."""
         if self._table.record_success(fingerprint, self._clock.monotonic()):
-            self._unsent.add(fingerprint)
+            self._queue(fingerprint)
 
     def blocks(self, fingerprint: str) -> bool:
         """Whether requests with this fingerprint are quarantined."""
@@ -116,57 +167,68 @@
     async def _share(self) -> None:
         """Send new observations to all keepers, or only fetch those of others from the nearest.
 
-        The first exchange is with all keepers, as the nearest may have been restarted. A keeper
-        that lacks what is known here, or could not be told, gets all of it later. What no keeper
-        received is sent again.
+        The first exchange with each sends all that is known, as it may have been restarted. What
+        a keeper did not receive is sent again.
         """
-        unsent, self._unsent = self._unsent, set()
         active = {member.disk for member in self._keepers.view.active}
-        available = self._keepers.list_available()
-        if unsent or not self._has_asked_all:
-            targets = available
-            self._behind |= active
-        else:
-            probed = self._keepers.list_probed()
-            targets = [m for m in available if m in probed or m.disk in self._behind]
-        self._behind &= active
-        requests = [self._exchange(member) for member in targets]
+        self._known_keepers = {
+            disk: self._known_keepers.get(disk) or _Keeper(unsent=set(self._unsent))
+            for disk in active
+        }
+        if active:
+            self._unsent.clear()
+        probed = self._keepers.list_probed()
+        requests = [
+            self._exchange(member, keeper)
+            for member in self._keepers.list_available()
+            if (keeper := self._known_keepers[member.disk]).lacks_any or member in probed
+        ]
         outcomes = await asyncio.gather(*requests, return_exceptions=True)
-        if any(outcome is None for outcome in outcomes):
-            self._has_asked_all = True
-        else:
-            self._unsent |= unsent
         for error in outcomes:
             # The keeper client logs the errors of requests.
             if isinstance(error, Exception) and not isinstance(error, EgretfordError):
                 raise error
 
-    async def _exchange(self, member: Member) -> None:
-        """Send what a keeper may lack, and record what it knows; raises EgretfordError."""
+    async def _exchange(self, member: Member, keeper: _Keeper) -> None:
+        """Send what a keeper lacks, and record what it knows; raises EgretfordError."""
         known = self._list_known()
-        is_behind = member.disk in self._behind
-        reply = await self._ask(member, known if is_behind else ReportCrashes((), ()))
-        now = self._clock.monotonic()
-        self._unsent |= self._table.merge_reports(reply.reports, reply.clearances, now)
-        if _lacks(reply, known):
-            self._behind.add(member.disk)
+        sent, message = set(keeper.unsent), known
+        if not keeper.lacks_others:
+            message = ReportCrashes(
+                tuple(report for report in known.reports if report.crash.fingerprint in sent),
+                tuple(item for item in known.clearances if item.fingerprint in sent),
+            )
+        reply = await self._ask(member, keeper, message)
+        keeper.unsent -= sent
+        if reply.position is None or reply.position.lifetime != keeper.seen.lifetime:
+            # All that it knows, also without a position.
+            keeper.lacks_others = _lacks(reply, known)
         else:
-            self._behind.discard(member.disk)
+            keeper.lacks_others = False
+        keeper.seen = reply.position or CrashPosition()
+        now = self._clock.monotonic()
+        for fingerprint in self._table.merge_reports(reply.reports, reply.clearances, now):
+            self._queue(fingerprint)
 
     def _list_known(self) -> ReportCrashes:
         now = self._clock.monotonic()
         return ReportCrashes(self._table.list_reports(now), self._table.list_clearances(now))
 
-    async def _ask(self, member: Member, message: ReportCrashes) -> CrashReports:
-        # A keeper of an earlier version knows neither ages nor successes.
-        earlier = ShareCrashes(tuple(report.crash for report in message.reports))
+    async def _ask(self, member: Member, keeper: _Keeper, message: ReportCrashes) -> CrashReports:
+        """Ask a keeper in the newest form that it knows."""
         now = self._clock.monotonic()
-        try:
-            is_earlier = now < self._refused_until.get(member.disk, 0.0)
-            reply = await self._keepers.send_request(member, earlier if is_earlier else message)
-        except RequestError:
-            self._refused_until[member.disk] = now + REFUSAL_BACKOFF_SECONDS
-            reply = await self._keepers.send_request(member, earlier)
+        if now >= keeper.form_until:
+            keeper.form = _Form.NEWS
+        while True:
+            try:
+                request = _encode_form(message, keeper)
+                reply = await self._keepers.send_request(member, request)
+                break
+            except RequestError:
+                if keeper.form is _Form.WITHOUT_AGES:
+                    raise
+                keeper.form = _Form(keeper.form - 1)
+                keeper.form_until = now + REFUSAL_BACKOFF_SECONDS
         if isinstance(reply, CrashList):
             return CrashReports(tuple(CrashReport(crash, 0.0) for crash in reply.crashes), ())
         if not isinstance(reply, CrashReports):
@@ -174,6 +236,16 @@
         return reply
 
 
+def _encode_form(message: ReportCrashes, keeper: _Keeper) -> ReportCrashes | ShareCrashes:
+    match keeper.form:
+        case _Form.NEWS:
+            return evolve(message, seen=keeper.seen)
+        case _Form.ALL:
+            return message
+        case _Form.WITHOUT_AGES:
+            return ShareCrashes(tuple(report.crash for report in message.reports))
+
+
 def _lacks(reply: CrashReports, known: ReportCrashes) -> bool:
     """Whether a keeper's reply lacks anything that was known here before."""
     cleared = {clearance.fingerprint for clearance in reply.clearances}
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -244,21 +244,38 @@
     crashes: tuple[Crash, ...]
 
 
+@frozen
+class CrashPosition:
+    """A position in what a keeper has learnt of crashes in one `lifetime` of its process."""
+
+    lifetime: str = ""
+    position: int = 0
+
+
 @frozen
 class ReportCrashes:
-    """Reports crashes, and requests that ran to their end after others like them had crashed."""
+    """Reports crashes, and requests that ran to their end after others like them had crashed.
+
+    With `seen`, the reply has only what the keeper learnt from others after that position, or all
+    of it if the position is of another lifetime.
+    """
 
     reports: tuple[CrashReport, ...]
     clearances: tuple[Clearance, ...]
+    seen: CrashPosition | None = None
     view: int = field(default=0, kw_only=True)
 
 
 @frozen
 class CrashReports:
-    """All that the keeper knows of crashes; kept in memory only, so empty after a restart."""
+    """What the keeper knows of crashes; kept in memory only, so empty after a restart.
+
+    `position` is how far that goes, if the request had one.
+    """
 
     reports: tuple[CrashReport, ...]
     clearances: tuple[Clearance, ...]
+    position: CrashPosition | None = None
 
 
 @frozen
@@ -369,9 +386,9 @@
     | ErrorReply
 )
 
-# Most charges have no origin and most lists no missing turns; without them, messages and records
-# are as before.
-for compact in (Charge, ProgramCharges, ListRecords):
+# Fields that most messages and records do not need are left out, and earlier versions do not know
+# them.
+for compact in (Charge, ProgramCharges, ListRecords, ReportCrashes, CrashReports):
     omit_defaults(compact)
 for union in (Record, KeeperRequest, KeeperReply):
     register_union(union, tag_name="_type")
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -228,7 +228,8 @@
             case FetchTurns():
                 return TurnPage(tuple(self._records.find_turns(message.ids)), self._disk)
             case ShareCrashes() | ReportCrashes():
-                return exchange_crashes(self._crashes, message, self._clock.monotonic())
+                now = self._clock.monotonic()
+                return exchange_crashes(self._crashes, self._records.lifetime, message, now)
             case AnnounceEntry():
                 now = self._clock.monotonic()
                 self._entries.add(message.entry, now)
--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -25,6 +25,9 @@
 PROMPT_CONNECT_SECONDS = 0.2
 # Crashed processes remembered; the oldest are dropped.
 MAX_PROCESSES = 1_000
+# A success that others report as later than it is known by less than this, in seconds, is the same:
+# the time on the way adds to its time.
+SAME_SUCCESS_SECONDS = 1.0
 # Bytes at the beginning of a body that requests of one family have in common.
 FAMILY_BODY_BYTES = 256
 # Length of a family, and of what tells its members apart.
@@ -108,6 +111,10 @@
     _offenders: dict[str, None] = Factory(dict)
     # By worker, the earliest time of its crash.
     _ended_at: dict[str, float] = Factory(dict)
+    # By fingerprint and crashed worker, None for a success, the position at which it became known.
+    _positions: dict[tuple[str, str | None], int] = Factory(dict)
+    # Grows with each crash or success that becomes known.
+    position: int = 0
 
     def add(self, crash: Crash, now: float, age: float = 0.0) -> bool:
         """Record a crash; returns False if it is known, too old or was followed by a success."""
@@ -120,11 +127,19 @@
         self._ended_at[crash.worker] = min(at, self._ended_at.get(crash.worker, at))
         _drop_oldest(self._ended_at, MAX_PROCESSES)
         is_known = crash.worker in workers
+        if not is_known:
+            self._assign_position(crash.fingerprint, crash.worker)
         workers[crash.worker] = min(at, workers.get(crash.worker, at))
         _drop_oldest(members, MAX_FAMILY_MEMBERS)
         _drop_oldest(self._crashed_at, MAX_FAMILIES)
         return not is_known
 
+    def _assign_position(self, fingerprint: str, worker: str | None) -> None:
+        self.position += 1
+        self._positions.pop((fingerprint, worker), None)
+        self._positions[fingerprint, worker] = self.position
+        _drop_oldest(self._positions, MAX_FINGERPRINTS)
+
     def tell_apart(self, worker: str, opened_at: float) -> str:
         """Return the name of the process to which a connection was opened at `opened_at`.
 
@@ -190,7 +205,10 @@
 
     def _clear(self, fingerprint: str, at: float) -> None:
         self._record_last_success(fingerprint, at)
-        at = max(at, self._cleared_at.get(fingerprint, -math.inf))
+        known_at = self._cleared_at.get(fingerprint, -math.inf)
+        if at > known_at + SAME_SUCCESS_SECONDS:
+            self._assign_position(fingerprint, None)
+        at = max(at, known_at)
         self._cleared_at[fingerprint] = at
         _drop_oldest(self._cleared_at, MAX_FINGERPRINTS)
         family = get_family(fingerprint)
@@ -260,24 +278,33 @@
         """Return the crashes of the last `CRASH_RETENTION_SECONDS`."""
         return tuple(report.crash for report in self.list_reports(now))
 
-    def list_reports(self, now: float) -> tuple[CrashReport, ...]:
-        """Return the crashes of the last `CRASH_RETENTION_SECONDS` with their ages."""
+    def list_reports(self, now: float, after: int = 0) -> tuple[CrashReport, ...]:
+        """Return the crashes of the last `CRASH_RETENTION_SECONDS` with their ages.
+
+        With `after`, only those that became known after that position.
+        """
         return tuple(
             CrashReport(Crash(fingerprint, worker), now - at)
             for members in self._crashed_at.values()
             for fingerprint, workers in members.items()
             for worker, at in workers.items()
-            if now - at <= CRASH_RETENTION_SECONDS
+            if now - at <= CRASH_RETENTION_SECONDS and self._is_after(after, fingerprint, worker)
         )
 
-    def list_clearances(self, now: float) -> tuple[Clearance, ...]:
-        """Return the successes of the last `CRASH_RETENTION_SECONDS` that followed crashes."""
+    def list_clearances(self, now: float, after: int = 0) -> tuple[Clearance, ...]:
+        """Return the successes of the last `CRASH_RETENTION_SECONDS` that followed crashes.
+
+        With `after`, only those that became known after that position.
+        """
         return tuple(
             Clearance(fingerprint, now - at)
             for fingerprint, at in self._cleared_at.items()
-            if now - at <= CRASH_RETENTION_SECONDS
+            if now - at <= CRASH_RETENTION_SECONDS and self._is_after(after, fingerprint, None)
         )
 
+    def _is_after(self, position: int, fingerprint: str, worker: str | None) -> bool:
+        return not position or self._positions.get((fingerprint, worker), 0) > position
+
 
 def _drop_oldest(items: dict[str, Any], size: int) -> None:
     while len(items) > size:
