--- a/egretford/logs.py
+++ b/egretford/logs.py
@@ -12,6 +12,7 @@
 import select
 import sys
 from collections import deque
+from datetime import UTC, datetime
 from typing import Any
 
 import structlog
@@ -98,23 +99,39 @@
 def configure_logs(level: str = "INFO") -> None:
     """Configure structlog to write logfmt lines of at least `level` to standard output."""
     structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            _prefix_event,
-            structlog.processors.LogfmtRenderer(
-                key_order=["timestamp", "level", "event"], drop_missing=True, bool_as_flag=False
-            ),
-        ],
+        processors=[render_line],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level)),
         logger_factory=structlog.WriteLoggerFactory(writer),
         cache_logger_on_first_use=True,
     )
 
 
-def _prefix_event(_: Any, __: str, fields: dict[str, Any]) -> dict[str, Any]:
-    fields["event"] = f"{fields.pop('part', 'egretford')}: {fields['event']}"
-    return fields
+def render_line(_: Any, level: str, fields: dict[str, Any]) -> str:
+    """Return a logfmt line: the time in UTC, the level and the event first, then the fields.
+
+    One function, as several lines a request are written and structlog's chain of processors takes
+    twice the time.
+    """
+    event = f"{fields.pop('part', 'egretford')}: {fields.pop('event')}"
+    timestamp = datetime.now(UTC).isoformat(timespec="microseconds")[:-6]
+    parts = [f"timestamp={timestamp}Z level={level} event={_render_value(event)}"]
+    parts += [f"{name}={_render_value(value)}" for name, value in fields.items()]
+    return " ".join(parts)
+
+
+def _render_value(value: Any) -> str:
+    if value is None:
+        return ""
+    if value is True or value is False:
+        return "true" if value else "false"
+    text = value if type(value) is str else str(value)
+    if text.isalnum():
+        return text
+    is_quoted = " " in text or "=" in text or '"' in text
+    if is_quoted and "\\" in text:
+        text = text.replace("\\", "\\\\")
+    text = text.replace('"', '\\"').replace("\n", "\\n")
+    return f'"{text}"' if is_quoted else text
 
 
 def make_logger(part: str, **fields: Any) -> Any:
