Ask for the running loop less often

Change: what is used for each message keeps its loop: timeouts for replies, background tasks, connections, the log on disk. ReplyTimeout does what asyncio.timeout did for it itself.

--- a/egretford/controllers/loops.py
+++ b/egretford/controllers/loops.py
@@ -18,10 +18,13 @@
 
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._loop: asyncio.AbstractEventLoop | None = None
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine as a task until it ends or the group closes."""
-        task = asyncio.create_task(work)
+        if self._loop is None:
+            self._loop = asyncio.get_running_loop()
+        task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
--- a/egretford/http/client.py
+++ b/egretford/http/client.py
@@ -114,6 +114,7 @@
         self.tunnel_server = ""
         self.opened_at = 0.0
         self._active_at = 0.0
+        self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._events: deque[ResponseEvent] = deque()
         self._buffered_bytes = 0
@@ -194,12 +195,12 @@
     @property
     def silent_seconds(self) -> float:
         """For how long nothing was sent or received."""
-        return asyncio.get_running_loop().time() - self._active_at
+        return self._loop.time() - self._active_at
 
     def send(self, data: bytes) -> None:
         """Send a complete, encoded request; its response can be read from then on."""
         self._awaiting_response = True
-        self._active_at = asyncio.get_running_loop().time()
+        self._active_at = self._loop.time()
         self._received_any = False
         self._framing.reset()
         self._transport.write(data)
@@ -211,7 +212,7 @@
                 raise self._failure_type(
                     f"{self.address}: {self._failure}", received=self._received_any
                 )
-            self._waiter = asyncio.get_running_loop().create_future()
+            self._waiter = self._loop.create_future()
             try:
                 await self._waiter
             finally:
@@ -263,7 +264,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes that arrive outside of an exchange close the connection."""
-        self._active_at = asyncio.get_running_loop().time()
+        self._active_at = self._loop.time()
         if self._failure is not None:
             return
         if not self._awaiting_response:
--- a/egretford/http/server.py
+++ b/egretford/http/server.py
@@ -103,6 +103,7 @@
     """One caller's connection."""
 
     def __init__(self, server: HttpServer) -> None:
+        self._loop = asyncio.get_running_loop()
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -296,7 +297,7 @@
             self._handled_bytes = _measure(len(request.body), request.headers)
             self._server.connections.record_use(self)
             self._update_reading()
-            self._task = asyncio.get_running_loop().create_task(self._serve(request))
+            self._task = self._loop.create_task(self._serve(request))
         elif self._refusal is not None:
             self._send_refusal(*self._refusal)
         elif self._reading:
@@ -410,7 +411,7 @@
 
     def _set_timer(self, seconds: float, action: Callable[[], None]) -> None:
         self._cancel_timer()
-        self._timer = asyncio.get_running_loop().call_later(seconds, action)
+        self._timer = self._loop.call_later(seconds, action)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -450,7 +451,7 @@
             await self._wait_for_change()
 
     async def _wait_for_change(self) -> None:
-        self._drain_waiter = asyncio.get_running_loop().create_future()
+        self._drain_waiter = self._loop.create_future()
         await self._drain_waiter
 
     def _wake_writer(self) -> None:
--- a/egretford/keeper/log.py
+++ b/egretford/keeper/log.py
@@ -59,6 +59,7 @@
     _pending: list[_Pending] = Factory(list)
     _pending_bytes: int = 0
     _write_task: asyncio.Task[None] | None = None
+    _loop: asyncio.AbstractEventLoop | None = None
     _executor: ThreadPoolExecutor = Factory(lambda: ThreadPoolExecutor(1, "disk"))
 
     def open(self) -> Iterator[tuple[int, bytes]]:
@@ -75,20 +76,21 @@
         frames = b"".join(encode_frame(record) for record in records)
         if self._pending_bytes + len(frames) > MAX_PENDING_BYTES:
             raise DiskError(f"over {MAX_PENDING_BYTES} bytes wait for the disk")
-        pending = _Pending(frames, asyncio.get_running_loop().create_future())
+        if self._loop is None:
+            self._loop = asyncio.get_running_loop()
+        pending = _Pending(frames, self._loop.create_future())
         self._pending.append(pending)
         self._pending_bytes += len(frames)
         if self._write_task is None:
-            self._write_task = asyncio.create_task(self._write_pending())
+            self._write_task = self._loop.create_task(self._write_pending())
         return await pending.written
 
     async def _write_pending(self) -> None:
-        loop = asyncio.get_running_loop()
         while self._pending:
             batch, self._pending = self._pending, []
             data = b"".join(pending.frames for pending in batch)
             try:
-                number = await loop.run_in_executor(self._executor, self._write, data)
+                number = await self._loop.run_in_executor(self._executor, self._write, data)
             except Exception as error:
                 # Whatever the error, callers must not wait for this batch, nor later ones for it.
                 self.log.error("disk write failed", error=repr(error), records=len(batch))
--- a/egretford/peer/streams.py
+++ b/egretford/peer/streams.py
@@ -208,7 +208,7 @@
         if protocol.closed:
             raise ConnectionResetError("the connection was closed")
         number = next(self._request_numbers)
-        future = asyncio.get_running_loop().create_future()
+        future = link.connect_task.get_loop().create_future()
         link.waiting[number] = future
         try:
             protocol.send(number, data)
--- a/egretford/timeouts.py
+++ b/egretford/timeouts.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from types import TracebackType
+from typing import Any
 
 # A timer that is later than this shows that the process stood still, in seconds. Other tasks of
 # a busy event loop delay timers by some tens of milliseconds.
@@ -26,29 +27,36 @@
         self._extension_left = self._seconds
         self._due = 0.0
         self._timer: asyncio.TimerHandle | None = None
-        self._timeout = asyncio.timeout(None)
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._task: asyncio.Task[Any] | None = None
+        self._earlier_cancellations = 0
+        self._is_expired = False
 
     async def __aenter__(self) -> ReplyTimeout:
-        await self._timeout.__aenter__()
         if self._seconds is not None:
+            self._loop = asyncio.get_running_loop()
+            self._task = asyncio.current_task(self._loop)
+            self._earlier_cancellations = self._task.cancelling()
             self._start_timer(self._seconds)
         return self
 
     def _start_timer(self, seconds: float) -> None:
-        loop = asyncio.get_running_loop()
-        self._due = loop.time() + seconds
-        self._timer = loop.call_at(self._due, self._check)
+        self._due = self._loop.time() + seconds
+        self._timer = self._loop.call_at(self._due, self._check)
 
     def _check(self) -> None:
-        loop = asyncio.get_running_loop()
-        late_seconds = loop.time() - self._due
+        late_seconds = self._loop.time() - self._due
         if late_seconds > STALL_SECONDS and self._extension_left:
             extension = min(late_seconds, self._extension_left)
             self._extension_left -= extension
             self._start_timer(extension)
         else:
             # Takes effect after the tasks whose replies have arrived.
-            self._timeout.reschedule(loop.time())
+            self._timer = self._loop.call_at(self._loop.time(), self._expire)
+
+    def _expire(self) -> None:
+        self._is_expired = True
+        self._task.cancel()
 
     async def __aexit__(
         self,
@@ -58,4 +66,8 @@
     ) -> bool | None:
         if self._timer is not None:
             self._timer.cancel()
-        return await self._timeout.__aexit__(kind, error, traceback)
+        if self._is_expired:
+            is_own = self._task.uncancel() <= self._earlier_cancellations
+            if is_own and kind is asyncio.CancelledError:
+                raise TimeoutError from error
+        return None
