--- a/tests/peer/test_streams.py
+++ b/tests/peer/test_streams.py
@@ -129,3 +129,26 @@
         await client.ask(address, FetchTurns(()), 0.5)
     await client.close()
     await server.close()
+
+
+# Guards against days that cost too much processor time (SHORT): up to Python 3.11 each question for
+# the running loop is a system call, and a request and its reply had eight.
+async def test_requests_rarely_ask_for_the_running_loop(monkeypatch):
+    address, server, client = await start_server(answer)
+    await client.ask(address, FetchTurns(()), 1.0)
+    asked = 0
+    get_loop = asyncio.get_running_loop
+
+    def count():
+        nonlocal asked
+        asked += 1
+        return get_loop()
+
+    monkeypatch.setattr(asyncio, "get_running_loop", count)
+    monkeypatch.setattr(asyncio.events, "get_running_loop", count)
+    for _ in range(20):
+        await client.ask(address, FetchTurns(()), 1.0)
+    monkeypatch.undo()
+    await client.close()
+    await server.close()
+    assert asked <= 2 * 20
