Settle no charge that no keeper can have, and only where a quorum may answer

Cause: a turn that is refused at once, as too few keepers answered shortly before, has sent no reservation; its settlement was sent all the same, twelve times in six seconds, and so for each retry of the caller. Work grew with the trouble, which is the class of the exchange of crashes too.

Change: the error says whether anything was sent, and if not there is nothing to settle. A settlement that has to wait does so without asking until enough members of the group count as available.

--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -61,7 +61,11 @@
 
 
 class KeepersUnavailableError(EgretfordError):
-    """Too few keepers answered; some may have executed the request."""
+    """Too few keepers answered; some may have executed the request if it was `sent`."""
+
+    def __init__(self, message: str, *, sent: bool = True) -> None:
+        super().__init__(message)
+        self.sent = sent
 
 
 @define(eq=False)
@@ -366,6 +370,7 @@
         members failed shortly before.
         """
         outcomes: list[str] = []
+        sent = False
         for _ in range(MAX_GROUP_ATTEMPTS):
             if self._is_view_too_small():
                 # The view was read while keepers were still joining, so a newer one is likely.
@@ -387,6 +392,7 @@
                 lambda member, stamped=stamped: self._start(member, stamped),
                 lambda view=view: self.view.number > view.number,
             )
+            sent = True
             await quorum_request.run(hedge_delay)
             self._record_delays(quorum_request)
             if quorum_request.has_enough:
@@ -408,7 +414,8 @@
             view=view.number,
             generation=view.generation,
         )
-        raise KeepersUnavailableError(f"no quorum answered under view {self.view.number}")
+        message = f"no quorum answered under view {self.view.number}"
+        raise KeepersUnavailableError(message, sent=sent)
 
     def _order_group(self, group: list[Member]) -> list[Member]:
         """Return a group's members in the order to ask them: those that answer first, then near."""
--- a/egretford/entry/turns.py
+++ b/egretford/entry/turns.py
@@ -158,8 +158,9 @@
         except BaseException as error:
             if history is not None:
                 history.cancel()
-            # Nothing ran, so the charge is settled at 0 tokens.
-            admission.settle(0)
+            # Nothing ran, so the charge is settled at 0 tokens, unless no keeper can have it.
+            if not isinstance(error, KeepersUnavailableError) or error.sent:
+                admission.settle(0)
             if isinstance(error, KeepersUnavailableError):
                 raise RequestError(ErrorKind.STORE_UNAVAILABLE, str(error)) from error
             raise
@@ -318,6 +319,11 @@
 
     async def _settle(self, charge: Charge) -> None:
         for _ in range(SETTLE_ATTEMPTS):
+            if not self._keepers.has_available_quorum(charge.program):
+                # The view may be outdated, and then lists too few that answer.
+                self._keepers.request_view_refresh()
+                await self._clock.sleep(SETTLE_RETRY_SECONDS)
+                continue
             try:
                 await self._keepers.request_quorum(
                     charge.program,
--- a/tests/load/test_messages_to_keepers.py
+++ b/tests/load/test_messages_to_keepers.py
@@ -8,13 +8,14 @@
 import asyncio
 from collections import Counter
 
-from attrs import Factory, define, evolve
+import pytest
+from attrs import Factory, define
 
 from egretford.clock import SystemClock
 from egretford.entry.keepers import HEDGE_DELAY_SECONDS, KeeperClient
 from egretford.entry.models import CallerRequest
 from egretford.entry.turns import Turns
-from egretford.errors import PeerUnreachableError
+from egretford.errors import PeerUnreachableError, RequestError
 from egretford.http.messages import Headers, HttpRequest
 from egretford.keeper.crash_reports import exchange_crashes
 from egretford.keeper.messages import Keep, Kept, ProgramCharges, ReportCrashes, Reserve, Reserved
@@ -86,11 +87,21 @@
 VIEW = View(3, MEMBERS, generation=3)
 
 
+def make_request(program="p1"):
+    http = HttpRequest(b"POST", b"/", Headers(), b"x", True, 0.0)
+    return CallerRequest(
+        http=http,
+        id="t1",
+        host="h",
+        path="/",
+        program=program,
+        token_budget=9,
+        max_output_tokens=5,
+    )
+
+
 async def serve_turn(turns):
-    fields = Headers()
-    http = HttpRequest(b"POST", b"/", fields, b"x", True, 0.0)
-    request = CallerRequest(http=http, id="t1", host="h", path="/", program="p1", token_budget=9)
-    admission = await turns.admit(evolve(request, max_output_tokens=5), ROUTE, 1)
+    admission = await turns.admit(make_request(), ROUTE, 1)
     await admission.keep(b"answer", 3)
     await asyncio.sleep(0.05)
 
@@ -121,3 +132,21 @@
     assert durations[0] < 4 * HEDGE_DELAY_SECONDS
     # The next ones go to those that answer first.
     assert max(durations[1:]) < HEDGE_DELAY_SECONDS
+
+
+# Guards against days that cost too much processor time (SHORT): an entry that was cut off from
+# keepers sent each refused turn's settlement for six seconds, though no keeper had its reservation.
+async def test_turns_that_were_refused_at_once_cost_nothing_later():
+    peers = CountingKeepers(silent={member.address for member in MEMBERS})
+    client = make_client(peers)
+    turns = Turns(client, SystemClock(), NullLog())
+    with pytest.raises(RequestError):
+        await turns.admit(make_request("first"), ROUTE, 1)
+    peers.asked.clear()
+    for number in range(30):
+        with pytest.raises(RequestError):
+            await turns.admit(make_request(f"p{number}"), ROUTE, 1)
+    await asyncio.sleep(3.0)
+    await client.close()
+    # The first turn's own settlement, which may be with some keeper.
+    assert peers.asked["Reserve"] == 0 and peers.asked["Keep"] <= 3 * len(MEMBERS)
