Wait for charges within a timeout as before

By reading the shortcut changes only which timers exist, and a joining keeper looks every 0.25 s whether it has all charges; not traced further, so it is taken back.

--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -196,8 +196,6 @@
 
     async def _wait_until_covered(self, program: str) -> bool:
         """Wait until all charges of a program are copied; returns False on timeout."""
-        if self.coverage.has_all_charges(program):
-            return True
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(COVERAGE_TIMEOUT_SECONDS):
                 while not self.coverage.has_all_charges(program):
