Send a crash that is observed during an exchange by the next one

Found by reading the exchange of crashes again: an entry marked all observations of a fingerprint as sent once the keeper replied, so that a further crash of the same request that came meanwhile was not sent to it, unless something else of that request was.

Change: what is to be sent is taken out first, and put back if the exchange fails. A keeper that is new gets all that is known, so observations need no other list. Also from reading: a quorum request asks no further member for one whose request was cancelled, as then the client closes. And a test of the exchange with keepers of the build before.

--- a/egretford/entry/crashes.py
+++ b/egretford/entry/crashes.py
@@ -78,8 +78,6 @@
         self._table = CrashTable()
         # By disk.
         self._known_keepers: dict[str, _Keeper] = {}
-        # Fingerprints with observations that were made while no keeper was known.
-        self._unsent: set[str] = set()
         # By the name of a process, the losses that wait for its check.
         self._unchecked: dict[str, list[_Loss]] = {}
         self._is_started = False
@@ -138,7 +136,6 @@
 
     def _queue(self, fingerprint: str) -> None:
         """Have the observations of a fingerprint sent to all keepers."""
-        self._unsent.add(fingerprint)
         for keeper in self._known_keepers.values():
             keeper.unsent.add(fingerprint)
 
@@ -171,12 +168,7 @@
         a keeper did not receive is sent again.
         """
         active = {member.disk for member in self._keepers.view.active}
-        self._known_keepers = {
-            disk: self._known_keepers.get(disk) or _Keeper(unsent=set(self._unsent))
-            for disk in active
-        }
-        if active:
-            self._unsent.clear()
+        self._known_keepers = {disk: self._known_keepers.get(disk) or _Keeper() for disk in active}
         probed = self._keepers.list_probed()
         requests = [
             self._exchange(member, keeper)
@@ -192,14 +184,19 @@
     async def _exchange(self, member: Member, keeper: _Keeper) -> None:
         """Send what a keeper lacks, and record what it knows; raises EgretfordError."""
         known = self._list_known()
-        sent, message = set(keeper.unsent), known
+        message = known
+        # What is observed from now on is for the next exchange.
+        sent, keeper.unsent = keeper.unsent, set()
         if not keeper.lacks_others:
             message = ReportCrashes(
                 tuple(report for report in known.reports if report.crash.fingerprint in sent),
                 tuple(item for item in known.clearances if item.fingerprint in sent),
             )
-        reply = await self._ask(member, keeper, message)
-        keeper.unsent -= sent
+        try:
+            reply = await self._ask(member, keeper, message)
+        except BaseException:
+            keeper.unsent |= sent
+            raise
         if reply.position is None or reply.position.lifetime != keeper.seen.lifetime:
             # All that it knows, also without a position.
             keeper.lacks_others = _lacks(reply, known)
--- a/egretford/entry/keepers.py
+++ b/egretford/entry/keepers.py
@@ -125,7 +125,8 @@
             self.replies[member] = task.result()
         else:
             self._failures += 1
-            if not self._decided.done() and not self._is_outdated():
+            # Requests are cancelled when the client closes.
+            if not (task.cancelled() or self._decided.done() or self._is_outdated()):
                 self._ask_more(1)
         self._check()
 
--- a/tests/load/test_messages_to_keepers.py
+++ b/tests/load/test_messages_to_keepers.py
@@ -15,7 +15,7 @@
 from egretford.entry.keepers import HEDGE_DELAY_SECONDS, KeeperClient
 from egretford.entry.models import CallerRequest
 from egretford.entry.turns import Turns
-from egretford.errors import PeerUnreachableError, RequestError
+from egretford.errors import ErrorKind, PeerUnreachableError, RequestError
 from egretford.http.messages import Headers, HttpRequest
 from egretford.keeper.crash_reports import exchange_crashes
 from egretford.keeper.messages import Keep, Kept, ProgramCharges, ReportCrashes, Reserve, Reserved
@@ -42,6 +42,7 @@
     addresses: list[str] = Factory(list)
     silent: set[str] = Factory(set)
     restarts: Counter = Factory(Counter)
+    is_earlier_version: bool = False
     # Records of crashes in requests and replies.
     crash_records: int = 0
 
@@ -57,6 +58,8 @@
                 return Reserved(ProgramCharges.pack(message.charge.program, []), (), None)
             case Keep():
                 return Kept()
+            case ReportCrashes(seen=seen) if seen is not None and self.is_earlier_version:
+                raise RequestError(ErrorKind.INTERNAL, "an unknown field")
             case ReportCrashes():
                 now = asyncio.get_running_loop().time()
                 lifetime = f"{address}/{self.restarts[address]}"
--- a/tests/load/test_shared_crashes.py
+++ b/tests/load/test_shared_crashes.py
@@ -87,3 +87,34 @@
     await asyncio.sleep(3.2)
     await end(entries, clients)
     assert all(peers.tables[address].blocks("f" * 32, now) for address in ("k0", "k3"))
+
+
+# Guards against a request that goes on crashing workers: a crash that is observed while an earlier
+# one of the same request is on its way was taken for sent.
+async def test_a_crash_that_comes_during_an_exchange_is_sent_by_the_next():
+    peers = CountingKeepers()
+    clients = [make_client(peers)]
+    (entry,) = entries = await share_familiar_crashes(peers, clients)
+    for number in range(CRASHES_TO_BLOCK):
+        entry.add(Crash("f" * 32, f"w{number}"))
+        exchange = asyncio.create_task(entry._share_now())
+        await asyncio.sleep(0.0005)
+    await exchange
+    await asyncio.sleep(2.2)
+    await end(entries, clients)
+    now = asyncio.get_running_loop().time()
+    assert all(table.blocks("f" * 32, now) for table in peers.tables.values())
+
+
+# Guards against an upgrade during which crashes are not shared: keepers of the build before do not
+# know the position that an entry has seen.
+async def test_keepers_of_the_build_before_are_told_all():
+    peers = CountingKeepers(is_earlier_version=True)
+    clients = [make_client(peers) for _ in range(2)]
+    entries = await share_familiar_crashes(peers, clients)
+    for number in range(CRASHES_TO_BLOCK):
+        entries[0].add(Crash("f" * 32, f"w{number}"))
+    await asyncio.sleep(2.5)
+    blocked = [entry.blocks("f" * 32) for entry in entries]
+    await end(entries, clients)
+    assert blocked == [True, True]
