Watch the store no longer than a relay does

Cause, by reading: an entry whose relays do not answer watches the store itself, for 4 s at a time, while keepers watch for half of the shortest bound. Watches may hear nothing of a change before they end, as when the store drops its history; a watch that began just before the change then ends after the bound of 4.0 s, and well after that of 2.5 s.

Evidence: test_a_change_is_in_force_in_time_although_watches_of_the_store_hear_nothing, red for both bounds on the commit before.

Change: the wait of an entry's own watch of the store is bounded by that of the relays.

--- a/egretford/entry/relayed_store.py
+++ b/egretford/entry/relayed_store.py
@@ -127,6 +127,8 @@
         return answer
 
     async def _watch(self, kind: str, revision: int, seconds: float) -> WatchAnswer:
+        # A watch may hear nothing of a change before its end, at the store as at a relay.
+        seconds = min(seconds, self._watch_seconds)
         relays = self._list_usable()
         if not relays:
             return await self._store.watch(kind, revision, seconds)
--- a/tests/load/relay_world.py
+++ b/tests/load/relay_world.py
@@ -40,6 +40,8 @@
     objects: dict[str, StoreObject] = Factory(dict)
     log: list[tuple[int, ObjectChange]] = Factory(list)
     cut: set[str] = Factory(set)
+    # Watches that began before this time hear nothing, and are cut at their end.
+    deaf_until: float = 0.0
     calls: list[str] = Factory(list)
     changed: asyncio.Event = Factory(asyncio.Event)
 
@@ -79,7 +81,11 @@
 
     async def watch(self, kind: str, revision: int, seconds: float) -> WatchAnswer:
         await self._call(seconds + WATCH_GRACE_SECONDS)
-        deadline = asyncio.get_running_loop().time() + seconds
+        started = asyncio.get_running_loop().time()
+        deadline = started + seconds
+        if started < self.store.deaf_until:
+            await asyncio.sleep(seconds)
+            raise StoreUnavailableError("cut")
         while True:
             found = [change for number, change in self.store.log if number > revision]
             left = deadline - asyncio.get_running_loop().time()
--- a/tests/load/test_changes_at_many_entries.py
+++ b/tests/load/test_changes_at_many_entries.py
@@ -177,3 +177,16 @@
         assert listing.revision >= known.revision and "left" not in listing.objects
 
     play(scenario)
+
+
+# Guards against a configuration that is not in force in time (CONFIG): an entry whose relays do not
+# answer watches the store itself, whose watches may hear nothing before they end.
+@pytest.mark.parametrize("limit", LIMITS)
+def test_a_change_is_in_force_in_time_although_watches_of_the_store_hear_nothing(limit):
+    async def scenario(world):
+        world.outdated |= set(world.relays)
+        world.store.deaf_until = world.now + 2.0
+        await asyncio.sleep(0.1)
+        await world.wait_for(world.store.put("main", 1), limit)
+
+    play(scenario, limit=limit)
