Share a success that ends a crash, also soon after an earlier success

What callers saw: nothing was reported. By reading: sound requests could stay blocked at other entries (DENIED) though a worker had run one.

Cause: a success within 1 s of the last known one of a request got no position, as the same success comes back from others a little later than it was. A crash between two such successes was shared, the second success was not.

Change: a success that ends a crash known here has a position of its own. Echoes still have none, as they end no crash.

--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -25,8 +25,8 @@
 PROMPT_CONNECT_SECONDS = 0.2
 # Crashed processes remembered; the oldest are dropped.
 MAX_PROCESSES = 1_000
-# A success that others report as later than it is known by less than this, in seconds, is the same:
-# the time on the way adds to its time.
+# A success that others report as later than it is known by less than this, in seconds, is the same,
+# as the time on the way adds to its time, unless it ends a crash that is known here.
 SAME_SUCCESS_SECONDS = 1.0
 # Bytes at the beginning of a body that requests of one family have in common.
 FAMILY_BODY_BYTES = 256
@@ -206,8 +206,7 @@
     def _clear(self, fingerprint: str, at: float) -> None:
         self._record_last_success(fingerprint, at)
         known_at = self._cleared_at.get(fingerprint, -math.inf)
-        if at > known_at + SAME_SUCCESS_SECONDS:
-            self._assign_position(fingerprint, None)
+        is_news = at > known_at + SAME_SUCCESS_SECONDS
         at = max(at, known_at)
         self._cleared_at[fingerprint] = at
         _drop_oldest(self._cleared_at, MAX_FINGERPRINTS)
@@ -217,6 +216,8 @@
         members = self._crashed_at.get(family, {})
         workers = members.pop(fingerprint, {})
         later = {worker: crashed_at for worker, crashed_at in workers.items() if crashed_at > at}
+        if is_news or len(later) < len(workers):
+            self._assign_position(fingerprint, None)
         if later:
             members[fingerprint] = later
         elif not members:
--- a/tests/load/test_shared_crashes.py
+++ b/tests/load/test_shared_crashes.py
@@ -118,3 +118,24 @@
     blocked = [entry.blocks("f" * 32) for entry in entries]
     await end(entries, clients)
     assert blocked == [True, True]
+
+
+# Guards against sound requests that stay blocked at other entries: a success soon after an earlier
+# one was taken for the same, so that the crash between them went on to count there.
+async def test_a_success_soon_after_another_ends_the_crash_between_them_at_all():
+    peers = CountingKeepers()
+    clients = [make_client(peers) for _ in range(2)]
+    first, second = entries = await share_familiar_crashes(peers, clients)
+    first.add(Crash("f" * 32, "w1"))
+    await first._share_now()
+    first.record_success("f" * 32)
+    await first._share_now()
+    first.add(Crash("f" * 32, "w2"))
+    await first._share_now()
+    await second._share_now()
+    first.record_success("f" * 32)
+    await asyncio.sleep(2.2)
+    now = asyncio.get_running_loop().time()
+    known = [report.crash.fingerprint for report in second._table.list_reports(now)]
+    await end(entries, clients)
+    assert "f" * 32 not in known
