Wait for the entries' view of keepers before streams begin without a record

Cause: the test, not the product. The log of each failure has "a stream needs a record to begin" after 17 to 37 ms, and the refusal (502, nothing delivered). An entry begins a stream without a record once it has known the generation of the keepers for the 4 s in which the stream could be resumed. It learns of a generation with its next exchange, up to a second after the keepers, so 4.5 s after these were ready it may have known it for 3.5 s only: it refuses, as it should. The test read the refusal as a stream without events. Whether it failed was decided by where the exchange fell.

Now the tests wait until each entry knows all three members, and count 4.5 s from there. All that they assert is as before; the wait is a condition instead of a guess.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -152,6 +152,16 @@
             while not condition():
                 await asyncio.sleep(0.02)
 
+    async def wait_until_streams_are_known(self) -> None:
+        """Wait until entries know of all streams that may be resumed, also without a record.
+
+        They count from when they learnt which keepers are active, up to a second after these.
+        """
+        await self.wait_until(
+            lambda: all(len(entry._keepers.view.active) == 3 for entry in self.entries)
+        )
+        await asyncio.sleep(4.5)
+
     def arrivals(self, request_id: str):
         return [a for w in self.workers for a in w.arrivals if a.request_id == request_id]
 
--- a/tests/platform/test_resumptions.py
+++ b/tests/platform/test_resumptions.py
@@ -198,7 +198,7 @@
 # Guards against a stream that fails though only one version and one upstream are there.
 async def test_a_stream_beside_one_version_begins_without_a_record(deployment):
     # An entry that has just started does not know that there is only one.
-    await asyncio.sleep(4.5)
+    await deployment.wait_until_streams_are_known()
     for name in ("keeper-1", "keeper-2"):
         await deployment.stop_keeper(name)
     answer = await deployment.callers[0].ask("/plan/1", body=b"x", request_id="p1")
--- a/tests/platform/test_unrecorded_streams.py
+++ b/tests/platform/test_unrecorded_streams.py
@@ -29,7 +29,7 @@
 # Guards against events of two versions: a stream began without a record beside one version, and
 # then one of equal content with a record beside the next version, at the same entry.
 async def test_an_unrecorded_stream_is_not_taken_for_a_recorded_one(deployment):
-    await asyncio.sleep(4.5)
+    await deployment.wait_until_streams_are_known()
     break_streams(deployment)
     caller = deployment.callers[0]
     for name in list(deployment.keepers):
@@ -79,7 +79,7 @@
 # Guards against events of two versions: the stream that began without a record is resumed at
 # another entry, which knows only of the one that was recorded since.
 async def test_an_unrecorded_stream_is_not_resumed_at_another_entry(deployment):
-    await asyncio.sleep(4.5)
+    await deployment.wait_until_streams_are_known()
     break_streams(deployment)
     first, second = deployment.callers
     for name in list(deployment.keepers):
@@ -104,7 +104,7 @@
 async def test_an_entry_that_is_cut_off_from_keepers_begins_no_stream_without_a_record(
     deployment, monkeypatch
 ):
-    await asyncio.sleep(4.5)
+    await deployment.wait_until_streams_are_known()
     first, second = deployment.callers
 
     async def ask(address, message, seconds):
