Poll all keepers for records in one round, and fetch turns only when there are any

Cause: two loops for each other keeper, each with a timer of its own: one lists records twice a second, the other looks for turns to fetch after each page, also after an empty one. A wait is two tasks and a timer, and the timers drift apart, so that each request and each reply wakes the process by itself.

Now one timer wakes all listing loops, twice a second as before, so that requests leave and replies arrive together; a loop that fetches turns sleeps until some are listed, and polls as before while any are missing. No request is sent less often, and a change of view still starts a round at once. A wake that comes while a page is on its way counts no more than before: the next round follows within half a second, as it did after the pause.

--- a/egretford/keeper/copying.py
+++ b/egretford/keeper/copying.py
@@ -57,7 +57,8 @@
     Charges up to `position` were copied while the disks in `former` were active. A change of
     members starts a new scan of all records; `scanned` is its position, `members` the members it
     started with, and `is_scanned` whether it has reached the end. `missing_turns` has the ids of
-    the turns that were listed but not fetched yet, oldest first; `listed` is set with each page.
+    the turns that were listed but not fetched yet, oldest first; `listed` is set with each page
+    while there are any.
     `charges_view` and `copied_generation` are the newest under which all charges were copied,
     `copied_view` the newest under which all turns were, too, and `completed_generation` the newest
     that the source had completed before its charges were copied.
@@ -176,6 +177,7 @@
     async def start(self) -> None:
         """Start copying from the members of the current view."""
         self.update_sources()
+        self._tasks.spawn(self._run_rounds())
 
     async def close(self) -> None:
         """Cancel all copy loops."""
@@ -225,6 +227,12 @@
 
     # Listing records, with the charges
 
+    async def _run_rounds(self) -> None:
+        """Poll all keepers at once, as one wake of the process costs more than the requests."""
+        while True:
+            await self._clock.sleep(COPY_INTERVAL_SECONDS)
+            self.wake()
+
     async def _list_from(self, source: Source) -> None:
         while self._is_current(source):
             try:
@@ -232,10 +240,7 @@
                     pass
             except EgretfordError as error:
                 self._log_failure(source, error)
-            await self._wait_for_next_round()
-
-    async def _wait_for_next_round(self) -> None:
-        await wait_for_event(self._wakeup, self._clock, COPY_INTERVAL_SECONDS)
+            await self._wakeup.wait()
 
     def wake(self) -> None:
         """Wake all listing loops from their pause between polls."""
@@ -300,7 +305,8 @@
             source.start_scan(source.members)
         missing = [turn_id for turn_id in page.turns if not self._records.has_turn(turn_id)]
         source.missing_turns.update(dict.fromkeys(missing))
-        source.listed.set()
+        if source.missing_turns:
+            source.listed.set()
         source.ready = page.ready
         source.scanned, source.is_scanned = page.position, not page.more
         if source.scanned >= source.position:
@@ -330,7 +336,10 @@
                     pass
             except EgretfordError as error:
                 self._log_failure(source, error)
-            await wait_for_event(source.listed, self._clock, COPY_INTERVAL_SECONDS)
+            if source.missing_turns:
+                await wait_for_event(source.listed, self._clock, COPY_INTERVAL_SECONDS)
+            else:
+                await source.listed.wait()
             source.listed.clear()
 
     async def _fetch_batch(self, source: Source) -> bool:
--- a/tests/keeper/test_copying.py
+++ b/tests/keeper/test_copying.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 from egretford.clock import SystemClock
 from egretford.codec import encode_bytes
 from egretford.errors import PeerUnreachableError
 from egretford.keeper.copying import RecordCopier
 from egretford.keeper.log import DiskLog
-from egretford.keeper.messages import FetchTurns, KeeperReply, OutdatedView, RecordPage, Turn
+from egretford.keeper.messages import (
+    FetchTurns,
+    KeeperReply,
+    ListRecords,
+    OutdatedView,
+    RecordPage,
+    Turn,
+)
 from egretford.keeper.records import Records
 from egretford.keeper.service import KeeperService
 from egretford.metrics import Metrics
@@ -62,10 +70,9 @@
         return
 
 
-def make_copier(service, records, link):
-    return RecordCopier(
-        "new", "new", service, records, link, FakeCompletions(), SystemClock(), NullLog()
-    )
+def make_copier(service, records, link, clock=None):
+    clock = clock or SystemClock()
+    return RecordCopier("new", "new", service, records, link, FakeCompletions(), clock, NullLog())
 
 
 async def test_an_empty_keeper_catches_up_over_a_link_between_regions(tmp_path):
@@ -243,3 +250,49 @@
         while not records["new"].has_turn("t2"):
             await asyncio.sleep(0.02)
     await copier.close()
+
+
+class CountingClock(SystemClock):
+    """Counts the timers that are set."""
+
+    def __init__(self):
+        self.timers = 0
+
+    async def sleep(self, seconds):
+        self.timers += 1
+        await super().sleep(seconds)
+
+
+class CountingLink(SlowLink):
+    """Counts the requests for records by address."""
+
+    def __init__(self, services):
+        super().__init__(services)
+        self.listed = Counter()
+
+    async def ask(self, address, message, seconds):
+        if isinstance(message, ListRecords):
+            self.listed[address] += 1
+        return await super().ask(address, message, seconds)
+
+
+# Guards against processor time that grows with the number of keepers though they have nothing to
+# copy: each other keeper had timers of its own, which woke the process one by one.
+async def test_an_idle_keeper_wakes_as_often_beside_many_others(tmp_path):
+    names = [f"k{number}" for number in range(12)]
+    view = View(4, tuple(Member(n, n, n, n, MemberState.ACTIVE) for n in (*names, "new")))
+    services, records = {}, {}
+    for name in (*names, "new"):
+        services[name], records[name] = make_service(tmp_path / name, name)
+        await services[name].adopt(view)
+    link, clock = CountingLink(services), CountingClock()
+    copier = make_copier(services["new"], records["new"], link, clock)
+    await copier.start()
+    await asyncio.sleep(0.2)
+    link.listed.clear()
+    clock.timers = 0
+    await asyncio.sleep(3.0)
+    await copier.close()
+    # Each is polled twice a second as before, all of them at once.
+    assert set(link.listed) == set(names) and min(link.listed.values()) >= 4
+    assert clock.timers <= 8
