Derive the active members of a view once, not for each record that is listed

Cause: for each turn that is listed to a keeper, the set of active members is made anew, twice where the turn has another holder: a pass over all members for each record, times all keepers that ask. The same at each request of an idle keeper, to find those that are behind.

Now a view, which never changes, keeps what follows from its members. The result is the same; the sets are frozen, so no caller can change them.

--- a/egretford/policy/turn_replicas.py
+++ b/egretford/policy/turn_replicas.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 from egretford.policy.membership import rank_by_hash
-from egretford.policy.views import Member, MemberState, View
+from egretford.policy.views import Member, View
 
 
 def rank_turn_keepers(
@@ -44,13 +44,13 @@
     replaced by others, chosen by hash of the turn so that all keepers agree. Members that are
     joining may never become active, so only the one named by `joining` is counted as active.
     """
-    remaining = {member.name for member in view.active}
+    remaining = view.active_names
     if joining is not None:
-        remaining.add(joining)
-    missing = max(0, tolerated_losses + 1 - len(remaining & set(initial_holders)))
-    if not missing:
+        remaining |= {joining}
+    missing = tolerated_losses + 1 - len(remaining.intersection(initial_holders))
+    if missing <= 0:
         return set(initial_holders)
-    successors = rank_by_hash(turn_id, remaining - set(initial_holders))[:missing]
+    successors = rank_by_hash(turn_id, remaining.difference(initial_holders))[:missing]
     return {*initial_holders, *successors}
 
 
@@ -63,8 +63,7 @@
     """
     if name in initial_holders:
         return True
-    is_joining = any(m.name == name and m.state is MemberState.JOINING for m in view.members)
-    joining = name if is_joining else None
+    joining = name if name in view.joining_names else None
     return name in list_turn_keepers(view, turn_id, initial_holders, tolerated_losses, joining)
 
 
@@ -84,8 +83,7 @@
     a slow link, so others in the holder's region, chosen by hash of the turn, take copies at once.
     """
     keepers = list_turn_keepers(view, turn_id, initial_holders, tolerated_losses)
-    active = {member.name for member in view.active}
-    present = ((keepers & active) - behind) | {holder.name}
+    present = ((keepers & view.active_names) - behind) | {holder.name}
     missing = tolerated_losses + 1 - len(present)
     if missing <= 0:
         return set()
--- a/egretford/policy/views.py
+++ b/egretford/policy/views.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 from enum import StrEnum
+from functools import cached_property
 
 from attrs import evolve, frozen
 
@@ -51,17 +52,28 @@
     dropped: tuple[str, ...] = ()
     generation: int = 0
 
-    @property
+    # Evaluated for each record that is listed to another keeper.
+    @cached_property
     def active(self) -> tuple[Member, ...]:
         """The members that count towards quorums."""
         return tuple(m for m in self.members if m.state is MemberState.ACTIVE)
 
+    @cached_property
+    def active_names(self) -> frozenset[str]:
+        """The instances of the active members."""
+        return frozenset(member.name for member in self.active)
+
+    @cached_property
+    def joining_names(self) -> frozenset[str]:
+        """The instances of the joining members."""
+        return frozenset(m.name for m in self.members if m.state is MemberState.JOINING)
+
     @property
     def holders(self) -> tuple[Member, ...]:
         """The members that may have records that no other has: all except joining ones."""
         return tuple(m for m in self.members if m.state is not MemberState.JOINING)
 
-    @property
+    @cached_property
     def lost_disks(self) -> frozenset[str]:
         """The lost disks: those of members whose instance is joining again with another disk."""
         joining = {m.name: m.disk for m in self.members if m.state is MemberState.JOINING}
--- a/tests/keeper/test_service.py
+++ b/tests/keeper/test_service.py
@@ -197,3 +197,37 @@
     listed = reply.attempts.unpack()
     assert reply.more and len(listed) == min(attempts, MAX_LISTED_ATTEMPTS - 1)
     assert all(charge.origin == origin for charge in listed)
+
+
+class CountingMembers(tuple):
+    """The members of a view; counts how often all of them are looked at."""
+
+    def __new__(cls, members):
+        made = super().__new__(cls, members)
+        made.passes = 0
+        return made
+
+    def __iter__(self):
+        self.passes += 1
+        return super().__iter__()
+
+
+# Guards against processor time that grows with the number of records times that of keepers: after
+# each change of members, all turns are listed to all other keepers.
+async def test_the_members_are_not_looked_at_for_each_record_that_is_listed(tmp_path):
+    names = [f"k{number:02}" for number in range(24)]
+    members = CountingMembers(Member(n, n, n, "z", MemberState.ACTIVE) for n in names)
+    service, records = make_service(tmp_path, "k00")
+    await service.adopt(View(5, members, generation=2))
+    turns = [
+        Turn(f"t{number}", None, "p", b"in", b"out", 60.0, ("k00", names[1 + number % 23]))
+        for number in range(400)
+    ]
+    await records.write(turns)
+    members.passes = 0
+    listed = 0
+    for name in names[1:]:
+        message = ListRecords(name, name, records.lifetime, 0, 0, (), view=5)
+        listed += len((await service.answer(message)).turns)
+    assert listed == len(turns)
+    assert members.passes <= 10 * len(names)
