Keep the record of a request that crashes workers beside many that begin alike

Cause: of each family, requests that begin alike, the eight newest records were kept. A worker that runs twelve streams leaves twelve records at each crash, so those of the request that did it were replaced by those that were there by chance, at entries and keepers, before they came to three.

Now 64 are kept, several times as many as a worker runs at once, and those at the fewest crashes go first, the oldest of them before the others: what is dropped is what says least. The newest is never dropped, as it may be at its first of many.

--- a/egretford/policy/crashes.py
+++ b/egretford/policy/crashes.py
@@ -16,9 +16,11 @@
 CRASHES_TO_BLOCK = 3
 # A blocked request may be tried again this long after its last crash, in seconds.
 CRASH_RETENTION_SECONDS = 120.0
-# Families remembered, and fingerprints of each; the oldest are dropped.
+# Families remembered; the oldest are dropped.
 MAX_FAMILIES = 2_000
-MAX_FAMILY_MEMBERS = 8
+# Fingerprints remembered of each family: several times as many as a worker runs at once, so that
+# those of one crash do not replace one another.
+MAX_FAMILY_MEMBERS = 64
 # Fingerprints remembered that have run to their end; the oldest are dropped.
 MAX_FINGERPRINTS = 10_000
 # Time, in seconds, in which no process takes the place of one that has just ended.
@@ -130,7 +132,7 @@
         if not is_known:
             self._assign_position(crash.fingerprint, crash.worker)
         workers[crash.worker] = min(at, workers.get(crash.worker, at))
-        _drop_oldest(members, MAX_FAMILY_MEMBERS)
+        _drop_least_suspect(members, crash.fingerprint)
         _drop_oldest(self._crashed_at, MAX_FAMILIES)
         return not is_known
 
@@ -310,3 +312,10 @@
 def _drop_oldest(items: dict[str, Any], size: int) -> None:
     while len(items) > size:
         del items[next(iter(items))]
+
+
+def _drop_least_suspect(members: dict[str, dict[str, float]], newest: str) -> None:
+    """Drop the members of a family that were there at the fewest crashes, the oldest first."""
+    while len(members) > MAX_FAMILY_MEMBERS:
+        others = (fingerprint for fingerprint in members if fingerprint != newest)
+        del members[min(others, key=lambda fingerprint: len(members[fingerprint]))]
--- a/tests/policy/test_crashes.py
+++ b/tests/policy/test_crashes.py
@@ -172,3 +172,23 @@
         table.add(Crash(FINGERPRINT, name), opened_at + 0.001)
     assert {crash.worker for crash in table.list_recent(1.0)} == {"w1/7"}
     assert table.tell_apart("w1/7", 1.0) == "w1/7+1"
+
+
+# Guards against a request that goes on crashing workers: sound requests that begin alike and were
+# there by chance took the place of its crashes.
+def test_requests_that_begin_alike_do_not_replace_the_one_that_crashes_workers():
+    table = CrashTable()
+    begin = b"x" * 300
+    sound = (make_fingerprint(b"/a", "10.0.0.1", begin + b"%d" % n) for n in range(1_000))
+    culprit = make_fingerprint(b"/a", "10.0.0.1", begin + b"deadly")
+    for number in range(3):
+        now = float(number)
+        table.record_success(next(sound), now)
+        assert not table.blocks(culprit, now)
+        table.add(Crash(culprit, f"w{number}"), now)
+        for _ in range(11):
+            table.add(Crash(next(sound), f"w{number}"), now)
+        for _ in range(30):
+            table.add(Crash(next(sound), f"other {number}"), now)
+    assert table.blocks(culprit, 3.0)
+    assert not table.blocks(next(sound), 3.0)
