Store what keepers know of crashes, so that a block outlasts the end of all processes

Cause: entries and keepers held what they know of crashes in memory only. A keeper that restarts by itself gets it back from the entries; if all processes end at once, nobody has it.

Now each keeper writes it to a small file of its own, at most once a second and only if something new is known, in the same way as its completion (that class is now StateFile, for both). On a start it reads the file; the time since then, by the system's clock, adds to the ages, so that a block ends when it would have. The entries get all of it with their first exchange, as the keeper's lifetime is another. A file that is missing or cannot be read counts as empty, a disk that refuses is tried again a second later, and a lost disk is made up for by the other keepers.

What remains: crashes of the last second before the end are lost, and so is the mark of suspects whose block has lapsed by time (one more crash blocks those again), which was never shared.

--- a/egretford/keeper/daemon.py
+++ b/egretford/keeper/daemon.py
@@ -9,8 +9,8 @@
 from egretford.clock import Clock
 from egretford.controllers.loops import TaskGroup, run_every
 from egretford.instance import InstanceSettings
-from egretford.keeper.completions import CompletionFile
 from egretford.keeper.copying import RecordCopier
+from egretford.keeper.crash_reports import CrashArchive, StoredCrashes
 from egretford.keeper.handover import TurnHandover
 from egretford.keeper.log import DiskLog, DurableMarker, write_file_durably
 from egretford.keeper.membership import Membership
@@ -20,6 +20,7 @@
 from egretford.keeper.renewals import RenewalFeed
 from egretford.keeper.service import KeeperService
 from egretford.keeper.stalls import StallWatch
+from egretford.keeper.state_file import StateFile
 from egretford.logs import make_logger
 from egretford.metrics import Metrics
 from egretford.peer.streams import StreamPeerClient, StreamPeerServer
@@ -27,12 +28,14 @@
 from egretford.platform.feeds import ObjectFeed, StoreHealth
 from egretford.platform.store import MetadataStore
 from egretford.platform.stored_state import StoredEvacuations, StoredView
+from egretford.policy.groups import Completion
 from egretford.policy.relays import compute_watch_seconds
 from egretford.policy.views import Member
 
 DISK_ID_FILE = "disk-id"
 READY_FILE = "ready"
 COMPLETION_FILE = "completion"
+CRASHES_FILE = "crashes"
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 
 
@@ -70,8 +73,15 @@
             KeeperRequest,
             KeeperReply,
         )
-        self._completions = CompletionFile(
-            folder / COMPLETION_FILE, self._make_logger("completions")
+        self._completions = StateFile(
+            folder / COMPLETION_FILE, Completion(), self._make_logger("completions")
+        )
+        crash_log = self._make_logger("crashes")
+        self._crash_archive = CrashArchive(
+            self._service.crashes,
+            StateFile(folder / CRASHES_FILE, StoredCrashes(), crash_log),
+            clock,
+            crash_log,
         )
         self._copier = RecordCopier(
             settings.name,
@@ -147,6 +157,7 @@
         """Load the records and the view from disk, then start the server and join the view."""
         self._records.load()
         self._service.load_view(self._completions.load())
+        self._crash_archive.load()
         await self._server.start()
         await self._feed.start()
         await self._relay.start()
@@ -157,6 +168,12 @@
         self._tasks.spawn(
             run_every(self._clock, MAINTENANCE_INTERVAL_SECONDS, self._run_maintenance, self._log)
         )
+        # Apart from other maintenance, as a disk may hang.
+        self._tasks.spawn(
+            run_every(
+                self._clock, MAINTENANCE_INTERVAL_SECONDS, self._crash_archive.save, self._log
+            )
+        )
         self._log.info(
             "started",
             domain=self._settings.failure_domain,
--- a/egretford/keeper/messages.py
+++ b/egretford/keeper/messages.py
@@ -239,7 +239,7 @@
 
 @frozen
 class CrashList:
-    """All crashes known to the keeper; kept in memory only, so empty after a restart."""
+    """All crashes known to the keeper."""
 
     crashes: tuple[Crash, ...]
 
@@ -268,10 +268,7 @@
 
 @frozen
 class CrashReports:
-    """What the keeper knows of crashes; kept in memory only, so empty after a restart.
-
-    `position` is how far that goes, if the request had one.
-    """
+    """What the keeper knows of crashes; `position` is how far that goes, if the request had one."""
 
     reports: tuple[CrashReport, ...]
     clearances: tuple[Clearance, ...]
--- a/egretford/keeper/service.py
+++ b/egretford/keeper/service.py
@@ -115,7 +115,7 @@
         self._records = records
         self._clock = clock
         self._metrics = metrics
-        self._crashes = CrashTable()
+        self.crashes = CrashTable()
         self._entries = EntryRegistry()
         self._log = log
         self._refusal_log_due: dict[str, float] = {}
@@ -229,7 +229,7 @@
                 return TurnPage(tuple(self._records.find_turns(message.ids)), self._disk)
             case ShareCrashes() | ReportCrashes():
                 now = self._clock.monotonic()
-                return exchange_crashes(self._crashes, self._records.lifetime, message, now)
+                return exchange_crashes(self.crashes, self._records.lifetime, message, now)
             case AnnounceEntry():
                 now = self._clock.monotonic()
                 self._entries.add(message.entry, now)
--- a/tests/keeper/test_service.py
+++ b/tests/keeper/test_service.py
@@ -5,7 +5,6 @@
 import pytest
 from attrs import evolve
 
-from egretford.keeper.completions import Completion
 from egretford.keeper.messages import (
     MAX_LISTED_ATTEMPTS,
     FindAttempts,
@@ -18,6 +17,7 @@
     Reserved,
     Turn,
 )
+from egretford.policy.groups import Completion
 from egretford.policy.ledger import Charge, StreamOrigin
 from egretford.policy.views import Member, MemberState, View
 from tests.entry.test_copies import ListLog
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -147,6 +147,21 @@
         self.callers.append(Caller(settings.callers_address))
         return entry
 
+    async def restart_all(self) -> None:
+        """End all entries and keepers, and start them again on their disks."""
+        count = len(self.entries)
+        for entry in self.entries:
+            await entry.close()
+        self.entries.clear()
+        self.callers.clear()
+        for name in list(self.keepers):
+            await self.stop_keeper(name)
+        for name in self.keeper_settings:
+            await self.start_keeper(name)
+        for number in range(count):
+            await self.start_entry(f"entry-{number + 1}", list(ZONES)[number])
+        await self.wait_until(lambda: all(entry.is_ready for entry in self.entries))
+
     async def wait_until(self, condition, seconds: float = 10.0) -> None:
         async with asyncio.timeout(seconds):
             while not condition():
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -254,3 +254,12 @@
     assert len(deadly.runs) >= 3
     for caller in (first, second):
         assert (await deadly.ask("plan", caller, DEADLY + b"other")).status == 200
+
+
+# Guards against a blocked request that crashes workers again after all processes were ended.
+async def test_a_blocked_request_stays_blocked_after_all_processes_ended(deployment):
+    deadly = DeadlyRequests(deployment)
+    await deadly.crash_three("plan")
+    await deadly.require_block("plan")
+    await deployment.restart_all()
+    await deadly.require_block("plan")
